--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -80,6 +80,7 @@
         if (starved.isEmpty()) {
             return;
         }
+        Set<String> touched = new HashSet<>();
         for (Host host : hosts) {
             if (random.nextDouble() >= tuning.evictionProbability()) {
                 continue;
@@ -92,20 +93,32 @@
                 host.leave(slot);
                 owner.use(slot.job(), tuning, -1);
                 queues.computeIfAbsent(slot.job().team(), t -> new ArrayList<>()).add(0, new Entry(null, slot, host));
+                touched.add(slot.job().team());
             }
         }
+        sortByClass(touched);
     }
 
-    /** The smallest fraction of its fair share, counting the task at the head, decides which team is next. */
+    /** Evicted tasks head their queues, in each class. */
+    private void sortByClass(Set<String> names) {
+        for (String name : names) {
+            queues.get(name).sort(Comparator.comparingInt((Entry e) -> -e.job().priority().ordinal()));
+        }
+    }
+
+    /**
+     * The smallest fraction of its fair share, counting the task at the head, decides which team is next. Heads of
+     * a higher class go first: were a lower one placed before them, they would only stop it again in the next cycle.
+     */
     private void fill() {
-        record Head(String team, double fraction, int rank) {}
-        PriorityQueue<Head> heads = new PriorityQueue<>(
-                Comparator.comparingDouble(Head::fraction).thenComparing(Head::rank));
+        record Head(String team, int priority, double fraction, int rank) {}
+        PriorityQueue<Head> heads = new PriorityQueue<>(Comparator.comparingInt((Head h) -> -h.priority)
+                .thenComparingDouble(Head::fraction).thenComparingInt(Head::rank));
         Map<String, Integer> at = new HashMap<>();
         List<String> names = new ArrayList<>(queues.keySet());
         for (int i = 0; i < names.size(); i++) {
             at.put(names.get(i), 0);
-            heads.add(new Head(names.get(i), fraction(names.get(i), 0), i));
+            heads.add(new Head(names.get(i), priority(names.get(i), 0), fraction(names.get(i), 0), i));
         }
         while (!heads.isEmpty()) {
             Head head = heads.poll();
@@ -115,11 +128,15 @@
                 at.put(head.team, ++index);
             }
             if (index < queue.size()) {
-                heads.add(new Head(head.team, fraction(head.team, index), head.rank));
+                heads.add(new Head(head.team, priority(head.team, index), fraction(head.team, index), head.rank));
             }
         }
     }
 
+    private int priority(String team, int index) {
+        return queues.get(team).get(index).job().priority().ordinal();
+    }
+
     private double fraction(String team, int index) {
         return teams.get(team).fraction(tuning.cost(queues.get(team).get(index).job()));
     }
