What is within a guarantee goes before what is not

Ruled out: eviction (stops came from cycles on change, which do not evict). Of two teams only the one within its guarantee may now stop the other.

--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -106,19 +106,24 @@
         }
     }
 
+    /** What the next entry of a team stands for when teams are compared. */
+    private record Head(String team, boolean guaranteed, int priority, double fraction, int rank) {
+        static final Comparator<Head> ORDER = Comparator.comparing((Head h) -> !h.guaranteed)
+                .thenComparingInt(h -> -h.priority).thenComparingDouble(Head::fraction).thenComparingInt(Head::rank);
+    }
+
     /**
-     * The smallest fraction of its fair share, counting the task at the head, decides which team is next. Heads of
-     * a higher class go first: were a lower one placed before them, they would only stop it again in the next cycle.
+     * The smallest fraction of its fair share, counting the task at the head, decides which team is next. But what
+     * could stop others goes before them: first what is within a guarantee, then higher classes. Were the others
+     * placed first, they would only be stopped in the next cycle, again and again.
      */
     private void fill() {
-        record Head(String team, int priority, double fraction, int rank) {}
-        PriorityQueue<Head> heads = new PriorityQueue<>(Comparator.comparingInt((Head h) -> -h.priority)
-                .thenComparingDouble(Head::fraction).thenComparingInt(Head::rank));
+        PriorityQueue<Head> heads = new PriorityQueue<>(Head.ORDER);
         Map<String, Integer> at = new HashMap<>();
         List<String> names = new ArrayList<>(queues.keySet());
         for (int i = 0; i < names.size(); i++) {
             at.put(names.get(i), 0);
-            heads.add(new Head(names.get(i), priority(names.get(i), 0), fraction(names.get(i), 0), i));
+            heads.add(head(names.get(i), 0, i));
         }
         while (!heads.isEmpty()) {
             Head head = heads.poll();
@@ -128,17 +133,15 @@
                 at.put(head.team, ++index);
             }
             if (index < queue.size()) {
-                heads.add(new Head(head.team, priority(head.team, index), fraction(head.team, index), head.rank));
+                heads.add(head(head.team, index, head.rank));
             }
         }
     }
 
-    private int priority(String team, int index) {
-        return queues.get(team).get(index).job().priority().ordinal();
-    }
-
-    private double fraction(String team, int index) {
-        return teams.get(team).fraction(tuning.cost(queues.get(team).get(index).job()));
+    private Head head(String name, int index, int rank) {
+        JobSpec job = queues.get(name).get(index).job();
+        Team team = teams.get(name);
+        return new Head(name, team.withinGuarantee(job), job.priority().ordinal(), team.fraction(tuning.cost(job)), rank);
     }
 
     /** Places one task of the entry; true when the entry has nothing more to place. */
@@ -255,11 +258,14 @@
     private List<Slot> victims(Host host, JobSpec job, boolean guaranteed) {
         List<Slot> candidates = new ArrayList<>();
         for (Slot slot : host.slots) {
-            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
             Team owner = teams.get(slot.job().team());
-            boolean borrowed = guaranteed && owner != null && !slot.job().team().equals(job.team())
-                    && owner.beyondGuarantee(slot.job());
-            if (owner != null && (lower || borrowed)) {
+            if (owner == null) {
+                continue;
+            }
+            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
+            boolean own = slot.job().team().equals(job.team());
+            // Of two teams only the one within its guarantee may stop the other, or they would take turns at it.
+            if (lower && (guaranteed || own) || (lower || guaranteed && !own) && owner.beyondGuarantee(slot.job())) {
                 candidates.add(slot);
             }
         }
@@ -271,7 +277,8 @@
             if (room.fits(job)) {
                 break;
             }
-            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
+            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal()
+                    && (guaranteed || slot.job().team().equals(job.team()));
             Room sum = taken.computeIfAbsent(slot.job().team(), t -> new Room(0, 0, 0));
             sum.give(slot.job());
             Team owner = teams.get(slot.job().team());
