--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -692,6 +692,39 @@
         }
     }
 
+    /** One line for the log: how much there is, and how much of it is used. */
+    public String summary() {
+        int up = 0;
+        int coming = 0;
+        int fetching = 0;
+        double total = 0;
+        double used = 0;
+        double running = 0;
+        for (Machine m : machines.values()) {
+            MachineType type = types.get(m.type);
+            if (!m.up || type == null) {
+                coming++;
+                continue;
+            }
+            up++;
+            total += type.cpus();
+            for (Attempt a : m.attempts.values()) {
+                double cpus = a.job == null ? 0 : a.job.cpus();
+                used += cpus;
+                running += a.state == Attempt.State.RUNNING ? cpus : 0;
+                fetching += a.state == Attempt.State.FETCHING ? 1 : 0;
+            }
+        }
+        int waiting = 0;
+        for (Job job : jobs.values()) {
+            waiting += job.waiting.cardinality();
+        }
+        return machines.size() + " machines (" + up + " up, " + coming + " coming or lost, " + unsettled.size()
+                + " unaccounted), CPUs " + Math.round(total) + " up, " + Math.round(used) + " taken, "
+                + Math.round(running) + " running; " + jobs.size() + " open jobs, " + waiting + " tasks waiting, "
+                + fetching + " fetching";
+    }
+
     // Views for the cycle
 
     /** Machines of earlier terms that are not accounted for may still hold any task that is older than this term. */
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -134,6 +134,9 @@
             }
             try {
                 cycle(true);
+                if (acting() && loaded) {
+                    LOG.info("term {}: {}", term, cluster.summary());
+                }
             } finally {
                 period();
             }
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -190,8 +190,9 @@
     }
 
     /**
-     * Machines used only by the team, then empty ones, then shared ones, and in each set the one with the least
-     * free room; what is free now goes before what is only being freed.
+     * Machines used only by the team, then shared ones, then empty ones, and in each set the one with the least
+     * free room; what is free now goes before what is only being freed. The design takes empty machines before
+     * shared ones; here every second of a machine is paid for, and one that stays empty can be returned.
      */
     private Host choose(Pending pending, TaskId task) {
         Host best = null;
@@ -218,10 +219,14 @@
         if (setA != setB) {
             return setA < setB;
         }
+        boolean heldByA = a.holds(job.image());
+        if (heldByA != b.holds(job.image())) {
+            return heldByA;
+        }
         if (Math.abs(a.room.cpus - b.room.cpus) > 1e-6) {
             return a.room.cpus < b.room.cpus;
         }
-        return a.holds(job.image()) && !b.holds(job.image());
+        return a.spot && !b.spot;
     }
 
     /** Makes room on the host where that wastes the least work, by stops that the protocol allows; null if nowhere. */
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -73,8 +73,8 @@
         return images.contains(image);
     }
 
-    /** 0 where only this team is, 1 where nobody is, 2 where others are: the order in which sets are tried. */
+    /** 0 where only this team is, 1 where others are, 2 where nobody is: the order in which sets are tried. */
     int set(String team) {
-        return teams.isEmpty() ? 1 : teams.size() == 1 && teams.containsKey(team) ? 0 : 2;
+        return teams.isEmpty() ? 2 : teams.size() == 1 && teams.containsKey(team) ? 0 : 1;
     }
 }
