--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -214,6 +214,9 @@
         if (nowA != b.free.fits(job)) {
             return nowA;
         }
+        if (Math.abs(a.cpus - b.cpus) > 1e-6) {
+            return a.cpus < b.cpus;
+        }
         int setA = a.set(job.team());
         int setB = b.set(job.team());
         if (setA != setB) {
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -18,6 +18,7 @@
     public final String type;
     public final String zone;
     public final boolean spot;
+    final double cpus;
     public final Room free;
     public final Room room;
     final List<Slot> slots = new ArrayList<>();
@@ -31,6 +32,7 @@
         this.type = type;
         this.zone = zone;
         this.spot = spot;
+        this.cpus = capacity.cpus;
         this.free = capacity;
         this.room = capacity.copy();
         this.barred = barred;
