Rent only for tasks that a new machine would start sooner

Cause: every task without a place was rented for, also those that a task about to end would make room for. Ruled out for rough: the number of machines the cloud has.

--- a/src/main/java/org/saffronshore/cluster/Attempt.java
+++ b/src/main/java/org/saffronshore/cluster/Attempt.java
@@ -26,6 +26,8 @@
     /** A launch was lost: it may arrive at any time as long as token and session match. */
     boolean loose;
     double runningSince = Double.NaN;
+    /** Whether this leader saw it run from the start. */
+    boolean fromStart;
     final double placedAt;
 
     Attempt(TaskId task, long number, Machine machine, JobSpec job, double placedAt) {
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -12,9 +12,12 @@
 import java.util.Set;
 import org.saffronshore.config.Settings;
 import org.saffronshore.config.Settings.Address;
+import org.saffronshore.fleet.Forecast;
+import org.saffronshore.fleet.Kind;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Host;
 import org.saffronshore.scheduling.Pending;
+import org.saffronshore.scheduling.Room;
 import org.saffronshore.scheduling.Slot;
 import org.saffronshore.scheduling.Team;
 import org.saffronshore.scheduling.Tuning;
@@ -43,6 +46,8 @@
     /** A job that failed on this many machines in a row is itself at fault. */
     private static final int BAD_JOB_MACHINES = 3;
     private static final int REMEMBERED_GONE = 5_000;
+    /** Owners' estimates are trusted until about this much running time of a class was seen. */
+    private static final double PRIOR_RUNS_S = 200;
 
     private final Loop loop;
     private final Settings settings;
@@ -56,6 +61,8 @@
     private Map<String, MachineType> types = Map.of();
     /** Machines that may hold tasks of earlier terms and have not been heard in this one. */
     private final Set<Machine> unsettled = new LinkedHashSet<>();
+    /** For each class, seconds that finished tasks ran and seconds that their owners had estimated. */
+    private final Map<String, double[]> seenRuns = new HashMap<>();
     private long lastAttempt;
     private boolean changed;
     private final Set<Machine> toCall = new LinkedHashSet<>();
@@ -417,6 +424,7 @@
             case FETCHING -> a.state = Attempt.State.FETCHING;
             case RUNNING -> {
                 if (a.state != Attempt.State.RUNNING) {
+                    a.fromStart = a.number >> TERM_SHIFT == term;
                     a.state = Attempt.State.RUNNING;
                     a.runningSince = loop.now();
                     useImage(m, a);
@@ -465,6 +473,7 @@
         changed = true;
         if (job != null && why == Report.Why.DONE) {
             a.done = true;
+            learn(a);
             if (!job.done.get(a.task.index())) {
                 job.done.set(a.task.index());
                 job.waiting.clear(a.task.index());
@@ -725,6 +734,54 @@
                 + fetching + " fetching";
     }
 
+    /** What the fleet may count on: machines that are up or coming, and when their room becomes free. */
+    public List<Forecast.Line> lines(double lateBoot) {
+        double now = loop.now();
+        List<Forecast.Line> lines = new ArrayList<>();
+        for (Machine m : machines.values()) {
+            MachineType type = types.get(m.type);
+            if (type == null || m.failed || m.returning || m.noticed() || m.distrusted()) {
+                continue;
+            }
+            Kind kind = new Kind(m.type, m.zone, m.spot);
+            Room room = m.capacity(type);
+            if (m.up) {
+                Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
+                for (Attempt a : m.attempts.values()) {
+                    if (a.job != null) {
+                        room.take(a.job);
+                        line.running(a.job, now + remainingS(a, now));
+                    }
+                }
+                lines.add(line);
+            } else if (!m.everUp() && now < m.rentedAt + type.bootS() * lateBoot) {
+                lines.add(new Forecast.Line(kind, room, Math.max(now, m.rentedAt + type.bootS())));
+            }
+        }
+        return lines;
+    }
+
+    private double remainingS(Attempt a, double now) {
+        double whole = lastsS(a.job);
+        double spent = Double.isNaN(a.runningSince) ? 0 : now - a.runningSince;
+        // A task that outlasts its estimate is as likely as not to go on for a good part of it.
+        return Math.max(whole - spent, whole / 5);
+    }
+
+    /** How long a task of a job is expected to run: the owner's estimate, corrected by what its class was seen to take. */
+    public double lastsS(JobSpec job) {
+        double[] seen = seenRuns.get(job.jobClass());
+        return job.estimateS() * (seen == null ? 1 : (seen[0] + PRIOR_RUNS_S) / (seen[1] + PRIOR_RUNS_S));
+    }
+
+    private void learn(Attempt a) {
+        if (a.job != null && !Double.isNaN(a.runningSince) && a.fromStart) {
+            double[] seen = seenRuns.computeIfAbsent(a.job.jobClass(), c -> new double[2]);
+            seen[0] += loop.now() - a.runningSince;
+            seen[1] += a.job.estimateS();
+        }
+    }
+
     // Views for the cycle
 
     /** Machines of earlier terms that are not accounted for may still hold any task that is older than this term. */
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -14,10 +14,13 @@
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.FleetPlan;
+import org.saffronshore.fleet.Forecast;
 import org.saffronshore.fleet.Kind;
 import org.saffronshore.http.Answer;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Plan;
+import org.saffronshore.scheduling.Room;
+import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Json;
 import org.saffronshore.wire.MachineType;
 import org.slf4j.Logger;
@@ -137,28 +140,32 @@
             return;
         }
         double now = loop.now();
-        List<Kind> coming = new ArrayList<>();
         Map<String, Integer> perZone = new HashMap<>();
         for (Machine m : cluster.machines()) {
-            MachineType type = cluster.types().get(m.type());
-            if (type == null || m.failed() || m.returning()) {
-                continue;
-            }
-            perZone.merge(m.zone(), 1, Integer::sum);
-            if (!m.everUp() && now < m.rentedAt() + type.bootS() * LATE_BOOT || m.up() && !m.settled()) {
-                coming.add(new Kind(m.type(), m.zone(), m.spot()));
+            if (m.zone() != null && !m.failed() && !m.returning()) {
+                perZone.merge(m.zone(), 1, Integer::sum);
             }
         }
+        List<Forecast.Line> lines = cluster.lines(LATE_BOOT);
         for (Order o : orders.values()) {
             perZone.merge(o.kind.zone(), o.count, Integer::sum);
-            for (int i = 0; i < o.count; i++) {
-                coming.add(o.kind);
+            MachineType type = cluster.types().get(o.kind.type());
+            for (int i = 0; i < o.count && type != null; i++) {
+                lines.add(new Forecast.Line(o.kind, new Room(type.cpus(), type.gpus(), type.memoryGb()),
+                        o.askedAt + type.bootS()));
             }
         }
-        FleetPlan.orders(cluster.types(), unmet, coming, perZone, kind -> available(kind, now))
+        List<Plan.Unmet> late = Forecast.late(lines, unmet, cluster::lastsS, job -> now + boot(job));
+        FleetPlan.orders(cluster.types(), late, List.of(), perZone, kind -> available(kind, now))
                 .forEach((kind, count) -> order(kind, Math.min(count, CloudClient.MOST_RENTED)));
     }
 
+    /** How long the quickest machine for a job takes to be up. */
+    private double boot(JobSpec job) {
+        return cluster.types().values().stream().filter(t -> t.fits(job)).mapToDouble(MachineType::bootS).min()
+                .orElse(0);
+    }
+
     private boolean available(Kind kind, double now) {
         Refusal r = refusals.get(kind);
         return r == null || now >= r.until;
