--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.saffronshore.config.Settings;
 import org.saffronshore.config.Settings.Address;
+import org.saffronshore.fleet.Arrivals;
 import org.saffronshore.fleet.Forecast;
 import org.saffronshore.fleet.Kind;
 import org.saffronshore.http.Loop;
@@ -63,6 +64,7 @@
     private final Set<Machine> unsettled = new LinkedHashSet<>();
     /** For each class, seconds that finished tasks ran and seconds that their owners had estimated. */
     private final Map<String, double[]> seenRuns = new HashMap<>();
+    private final Arrivals arrivals = new Arrivals();
     private long lastAttempt;
     private boolean changed;
     private final Set<Machine> toCall = new LinkedHashSet<>();
@@ -148,6 +150,7 @@
         }
         Job job = new Job(spec, version, submittedMs, done);
         jobs.put(spec.id(), job);
+        arrivals.saw(spec, loop.now());
         for (Machine m : machines.values()) {
             for (Attempt a : m.allAttempts()) {
                 if (a.task.job().equals(spec.id()) && a.job == null) {
@@ -734,6 +737,23 @@
                 + fetching + " fetching";
     }
 
+    public Arrivals arrivals() {
+        return arrivals;
+    }
+
+    /** What is free on a machine now, or null when nothing may be put there. */
+    public Room freeOn(Machine m) {
+        MachineType type = types.get(m.type);
+        if (type == null || !m.usable(loop.now())) {
+            return null;
+        }
+        Room room = m.capacity(type);
+        for (Attempt a : m.attempts.values()) {
+            room.take(a.job);
+        }
+        return room;
+    }
+
     /** What the fleet may count on: machines that are up or coming, and when their room becomes free. */
     public List<Forecast.Line> lines(double lateBoot) {
         double now = loop.now();
@@ -743,7 +763,7 @@
             if (type == null || m.failed || m.returning || m.noticed() || m.distrusted()) {
                 continue;
             }
-            Kind kind = new Kind(m.type, m.zone, m.spot);
+            Kind kind = m.kind();
             Room room = m.capacity(type);
             if (m.up) {
                 Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
@@ -797,7 +817,7 @@
             if (type == null || !m.usable(now)) {
                 continue;
             }
-            Host host = new Host(m.id, m.type, m.zone, m.spot, m.capacity(type), m.barred(), m.images());
+            Host host = new Host(m.id, m.kind(), m.capacity(type), m.barred(), m.images());
             for (Attempt a : m.attempts.values()) {
                 host.add(new Slot(a.task, a.job, a.stopping, lostS(a, now)));
             }
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.config.Settings.Address;
+import org.saffronshore.fleet.Kind;
 import org.saffronshore.scheduling.Room;
 import org.saffronshore.wire.MachineType;
 import org.saffronshore.wire.TaskId;
@@ -60,6 +61,10 @@
         return id;
     }
 
+    public Kind kind() {
+        return new Kind(type, zone, spot);
+    }
+
     public String type() {
         return type;
     }
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -13,6 +14,7 @@
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.config.Settings;
+import org.saffronshore.fleet.Arrivals;
 import org.saffronshore.fleet.FleetPlan;
 import org.saffronshore.fleet.Forecast;
 import org.saffronshore.fleet.Kind;
@@ -35,7 +37,10 @@
     private static final double LATE_BOOT = 1.6;
     private static final double LOST_BOOT = 3;
     /** An idle machine is kept for this share of the time that a new one takes to boot. */
-    private static final double IDLE_KEPT = 1;
+    private static final double IDLE_KEPT = 0.25;
+
+    /** Room for this many typical jobs of each class is kept although it is idle. */
+    private static final double SPARE_JOBS = 1;
 
     private record Order(String name, Kind kind, int count, double askedAt) {}
 
@@ -246,22 +251,49 @@
             return "it is to be taken back, and is empty";
         }
         boolean idle = now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + LEAST_CHARGED_S;
-        return idle ? "it is idle" : null;
+        return idle && !spare(m, now, boot) ? "it is idle" : null;
+    }
+
+    /** Whether a typical job of some class would find no room without this machine. */
+    private boolean spare(Machine m, double now, double boot) {
+        Room room = cluster.freeOn(m);
+        if (room == null) {
+            return false;
+        }
+        Kind kind = m.kind();
+        for (Arrivals.Expected e : cluster.arrivals().expected(now, boot / 2)) {
+            if (!kind.allows(e.task()) || Arrivals.fitting(room, e.task()) == 0) {
+                continue;
+            }
+            double others = 0;
+            for (Machine other : cluster.machines()) {
+                Room free = other == m || returning.contains(other.id()) ? null : cluster.freeOn(other);
+                if (free != null && other.kind().allows(e.task())) {
+                    others += Arrivals.fitting(free, e.task());
+                }
+            }
+            if (others < e.tasks() * SPARE_JOBS) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private void giveBack() {
         double now = loop.now();
         List<String> names = new ArrayList<>();
-        for (Machine m : cluster.machines()) {
+        List<Machine> dearFirst = new ArrayList<>(cluster.machines());
+        dearFirst.sort(Comparator.comparing(Machine::spot));
+        for (Machine m : dearFirst) {
             String why = returning.contains(m.id()) ? null : reason(m, now);
             if (why != null && names.size() < CloudClient.MOST_RETURNED) {
                 LOG.info("returning machine {}: {}", m.id(), why);
                 cluster.returning(m);
+                returning.add(m.id());
                 names.add(m.id());
             }
         }
         if (!names.isEmpty()) {
-            returning.addAll(names);
             returned(names);
         }
     }
--- a/src/main/java/org/saffronshore/fleet/FleetPlan.java
+++ b/src/main/java/org/saffronshore/fleet/FleetPlan.java
@@ -27,7 +27,7 @@
         }
 
         boolean takes(JobSpec job) {
-            return room.fits(job) && allowed(kind, job);
+            return room.fits(job) && kind.allows(job);
         }
     }
 
@@ -43,11 +43,6 @@
         this.perZone = new HashMap<>(perZone);
     }
 
-    static boolean allowed(Kind kind, JobSpec job) {
-        return (!kind.spot() || job.spot()) && (job.types() == null || job.types().contains(kind.type()))
-                && (job.zone() == null || job.zone().equals(kind.zone()));
-    }
-
     /**
      * @param coming kinds of the machines that are booting and expected soon
      * @param perZone how many machines each zone has, so that new ones go where there are fewest
@@ -135,7 +130,7 @@
         Kind best = null;
         for (String zone : type.zones()) {
             Kind kind = new Kind(type.name(), zone, spot);
-            if (allowed(kind, job) && available.test(kind) && (best == null
+            if (kind.allows(job) && available.test(kind) && (best == null
                     || perZone.getOrDefault(zone, 0) < perZone.getOrDefault(best.zone(), 0))) {
                 best = kind;
             }
--- a/src/main/java/org/saffronshore/fleet/Forecast.java
+++ b/src/main/java/org/saffronshore/fleet/Forecast.java
@@ -83,7 +83,7 @@
                 Line best = null;
                 double bestStart = limit;
                 for (Line line : lines) {
-                    if (FleetPlan.allowed(line.kind, job)) {
+                    if (line.kind.allows(job)) {
                         double start = line.startOf(job);
                         if (start <= bestStart && (best == null || start < bestStart)) {
                             best = line;
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -170,7 +170,7 @@
             return true;
         }
         pending.tasks.poll();
-        pending.entered(host.zone);
+        pending.entered(host.kind.zone());
         team.use(job, tuning, 1);
         host.enter(job);
         if (host.free.fits(job)) {
@@ -206,7 +206,7 @@
     }
 
     private static boolean allowed(Host host, Pending pending, TaskId task) {
-        return host.allowed(pending.job) && pending.zoneAllowed(host.zone) && !host.barred(task);
+        return host.kind.allows(pending.job) && pending.zoneAllowed(host.kind.zone()) && !host.barred(task);
     }
 
     private static boolean better(Host a, Host b, JobSpec job) {
@@ -229,7 +229,7 @@
         if (Math.abs(a.room.cpus - b.room.cpus) > 1e-6) {
             return a.room.cpus < b.room.cpus;
         }
-        return a.spot && !b.spot;
+        return a.kind.spot() && !b.kind.spot();
     }
 
     /** Makes room on the host where that wastes the least work, by stops that the protocol allows; null if nowhere. */
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.saffronshore.fleet.Kind;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.TaskId;
 
@@ -15,9 +16,7 @@
  */
 public final class Host {
     public final String id;
-    public final String type;
-    public final String zone;
-    public final boolean spot;
+    public final Kind kind;
     final double cpus;
     public final Room free;
     public final Room room;
@@ -26,12 +25,10 @@
     private final Set<TaskId> barred;
     private final Set<String> images;
 
-    public Host(String id, String type, String zone, boolean spot, Room capacity, Set<TaskId> barred,
+    public Host(String id, Kind kind, Room capacity, Set<TaskId> barred,
             Set<String> images) {
         this.id = id;
-        this.type = type;
-        this.zone = zone;
-        this.spot = spot;
+        this.kind = kind;
         this.cpus = capacity.cpus;
         this.free = capacity;
         this.room = capacity.copy();
@@ -60,13 +57,6 @@
         teams.merge(job.team(), 1, Integer::sum);
     }
 
-    /** Whether the job may use this machine at all, however full it is. */
-    boolean allowed(JobSpec job) {
-        return (job.types() == null || job.types().contains(type))
-                && (job.zone() == null || job.zone().equals(zone))
-                && (!spot || job.spot());
-    }
-
     boolean barred(TaskId task) {
         return barred.contains(task);
     }
