--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -96,6 +96,11 @@
         changed = true;
     }
 
+    /** Null as long as the machine's type, or all types, are not known. */
+    private MachineType typeOf(Machine m) {
+        return m.type == null ? null : types.get(m.type);
+    }
+
     public Collection<Machine> machines() {
         return machines.values();
     }
@@ -439,7 +444,7 @@
     }
 
     private void useImage(Machine m, Attempt a) {
-        MachineType type = types.get(m.type);
+        MachineType type = typeOf(m);
         if (a.job != null && type != null) {
             m.usesImage(a.job.image(), a.job.imageGb(), type.cacheGb());
         }
@@ -713,7 +718,7 @@
         double used = 0;
         double running = 0;
         for (Machine m : machines.values()) {
-            MachineType type = types.get(m.type);
+            MachineType type = typeOf(m);
             if (!m.up || type == null) {
                 coming++;
                 continue;
@@ -743,7 +748,7 @@
 
     /** What is free on a machine now, or null when nothing may be put there. */
     public Room freeOn(Machine m) {
-        MachineType type = types.get(m.type);
+        MachineType type = typeOf(m);
         if (type == null || !m.usable(loop.now())) {
             return null;
         }
@@ -759,7 +764,7 @@
         double now = loop.now();
         List<Forecast.Line> lines = new ArrayList<>();
         for (Machine m : machines.values()) {
-            MachineType type = types.get(m.type);
+            MachineType type = typeOf(m);
             if (type == null || m.failed || m.returning || m.noticed() || m.distrusted()) {
                 continue;
             }
@@ -813,7 +818,7 @@
         double now = loop.now();
         List<Host> hosts = new ArrayList<>();
         for (Machine m : machines.values()) {
-            MachineType type = types.get(m.type);
+            MachineType type = typeOf(m);
             if (type == null || !m.usable(now)) {
                 continue;
             }
@@ -879,7 +884,7 @@
         double cpus = 0;
         double gpus = 0;
         for (Machine m : unsettled) {
-            MachineType type = types.get(m.type);
+            MachineType type = typeOf(m);
             for (MachineType t : type != null ? List.of(type) : List.copyOf(types.values())) {
                 cpus += t.cpus();
                 gpus += t.gpus();
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -156,6 +156,10 @@
         return images.keySet();
     }
 
+    public double cachedGb() {
+        return images.values().stream().mapToDouble(Double::doubleValue).sum();
+    }
+
     void usesImage(String image, double gb, double cacheGb) {
         images.put(image, gb);
         images.get(image);
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -36,7 +36,7 @@
     /** Boots later than this, as a multiple of the usual time, are not counted on, and later than that given up. */
     private static final double LATE_BOOT = 1.6;
     private static final double LOST_BOOT = 3;
-    /** An idle machine is kept for this share of the time that a new one takes to boot. */
+    /** An idle machine is kept for this share of the time that a new one takes to boot and to fetch its images. */
     private static final double IDLE_KEPT = 0.25;
 
     /** Room for this many typical jobs of each class is kept although it is idle. */
@@ -229,7 +229,7 @@
     // Returning
 
     private String reason(Machine m, double now) {
-        MachineType type = cluster.types().get(m.type());
+        MachineType type = m.type() == null ? null : cluster.types().get(m.type());
         double boot = type == null ? settings.leaseS() : type.bootS();
         if (m.failed()) {
             return "it has failed";
@@ -250,7 +250,8 @@
         if (m.noticed()) {
             return "it is to be taken back, and is empty";
         }
-        boolean idle = now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + LEAST_CHARGED_S;
+        double rebuild = boot + (type == null || type.fetchGbPerS() <= 0 ? 0 : m.cachedGb() / type.fetchGbPerS());
+        boolean idle = now > m.idleSince() + IDLE_KEPT * rebuild && now > m.rentedAt() + LEAST_CHARGED_S;
         return idle && !spare(m, now, boot) ? "it is idle" : null;
     }
 
--- /dev/null
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -0,0 +1,290 @@
+package org.saffronshore.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.saffronshore.Samples.report;
+import static org.saffronshore.Samples.task;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.saffronshore.HandLoop;
+import org.saffronshore.Samples;
+import org.saffronshore.wire.Command;
+import org.saffronshore.wire.Priority;
+import org.saffronshore.wire.Report;
+import org.saffronshore.wire.Report.State;
+import org.saffronshore.wire.Report.Why;
+import org.saffronshore.wire.TaskId;
+
+/** Each way in which a task may or may not be placed again. */
+class ClusterTest {
+    private static final long TERM = 5;
+    private static final long KEY = 100;
+    private static final TaskId TASK = new TaskId("wk-1", 0);
+    private final HandLoop loop = new HandLoop();
+    private final Cluster cluster = new Cluster(loop, Samples.settings(), TERM, KEY);
+    private long seq;
+
+    @BeforeEach
+    void types() {
+        cluster.types(Samples.TYPES);
+    }
+
+    private void job(long version) {
+        cluster.addJob(Samples.job("wk-1", "red", Priority.STANDARD, 1, 4), version, 0, new BitSet());
+    }
+
+    private Machine up(String id) {
+        Machine m = cluster.reported(report(id, 1, ++seq, TERM), true);
+        cluster.inRoster(List.of(m));
+        return m;
+    }
+
+    private boolean placeable() {
+        return !cluster.pending().isEmpty();
+    }
+
+    private Cluster.Call launch(Machine m) {
+        cluster.place(TASK, m.id());
+        return cluster.call(m);
+    }
+
+    private static List<Command.Op> ops(List<Command> commands) {
+        return commands.stream().map(Command::op).toList();
+    }
+
+    // After a change of leader
+
+    @ParameterizedTest
+    @CsvSource({"99, false", "101, true"})
+    void onlyJobsOfThisTermNeedNotWaitForUnheardMachines(long version, boolean placeable) {
+        cluster.addRoster("host-1");
+        job(version);
+        assertEquals(placeable, placeable());
+    }
+
+    @Test
+    void aMachineIsSettledOnceItKnowsTheToken() {
+        cluster.addRoster("host-1");
+        job(1);
+        cluster.reported(report("host-1", 1, 1, TERM - 1), true);
+        assertFalse(placeable(), "an order of the last leader may still arrive there");
+        assertNotNull(cluster.call(cluster.machine("host-1")), "it is told the token at once");
+        cluster.reported(report("host-1", 1, 2, TERM), true);
+        assertTrue(placeable());
+    }
+
+    @Test
+    void anUnheardMachineIsWaitedOutForItsLease() {
+        cluster.addRoster("host-1");
+        job(1);
+        loop.pass(Samples.LEASE_S);
+        cluster.expireLeases();
+        assertFalse(placeable(), "its clock may run slow");
+        loop.pass(1);
+        cluster.expireLeases();
+        assertTrue(placeable());
+    }
+
+    @Test
+    void adoptsWhatRuns() {
+        cluster.addRoster("host-1");
+        job(1);
+        cluster.reported(report("host-1", 1, 1, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)), true);
+        assertFalse(placeable());
+        assertEquals(1, cluster.job("wk-1").running());
+    }
+
+    @Test
+    void stopsWhatBelongsToNoOpenJob() {
+        Machine m = up("host-1");
+        cluster.reported(report("host-1", 1, 9, TERM, task("wk-7", 0, 7, State.RUNNING, Why.NONE)), true);
+        assertEquals(List.of(Command.Op.STOP), ops(cluster.call(m).commands()));
+    }
+
+    @Test
+    void countsWhatMayRunUnseenAgainstTheLimit() {
+        cluster.addRoster("host-1");
+        job(1);
+        var teams = cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of());
+        var more = Samples.job("wk-2", "red", Priority.STANDARD, 1, 62);
+        cluster.addJob(more, KEY + 1, 0, new BitSet());
+        Machine m = up("host-2");
+        var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(), teams,
+                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1));
+        assertTrue(plan.placements().isEmpty() && plan.unmet().isEmpty(), "4 that may run and 62 are beyond 64");
+        assertTrue(m.settled());
+    }
+
+    // Launches
+
+    /** What became of the launch: executed, certainly not, or nobody knows. */
+    @ParameterizedTest
+    @CsvSource({"true, false, false", "false, true, true", "false, false, false"})
+    void aLaunchThatMayArriveHoldsItsTask(boolean executed, boolean surelyNot, boolean placeable) {
+        job(101);
+        Machine m = up("host-1");
+        Cluster.Call call = launch(m);
+        assertEquals(List.of(Command.Op.START), ops(call.commands()));
+        Report answer = executed ? report("host-1", 1, 50, TERM, task("wk-1", 0, call.launches().get(0).number(),
+                State.FETCHING, Why.NONE)) : surelyNot ? report("host-1", 1, 50, TERM) : null;
+        cluster.called(call, executed, surelyNot, answer);
+        assertEquals(placeable, placeable());
+        cluster.reported(report("host-1", 1, 51, TERM, executed ? answer.tasks().toArray(new Report.Task[0])
+                : new Report.Task[0]), true);
+        assertEquals(placeable, placeable(), "a report without the task proves nothing while the launch is on its way");
+    }
+
+    @Test
+    void aNewerSessionEndsAnUnansweredLaunch() {
+        job(101);
+        Machine m = up("host-1");
+        cluster.called(launch(m), false, false, null);
+        cluster.reported(report("host-1", 2, 60, TERM), true);
+        assertTrue(placeable());
+    }
+
+    /** A lost launch is repeated with a stop behind it, so that the late copy finds an attempt that is over. */
+    @Test
+    void aLostLaunchIsEndedByRepeatingIt() {
+        job(101);
+        Machine m = up("host-1");
+        Cluster.Call call = launch(m);
+        cluster.called(call, false, false, null);
+        cluster.removeJob("wk-1");
+        loop.pass(5);
+        assertEquals(List.of(Command.Op.START, Command.Op.STOP), ops(cluster.responseCommands(m)));
+    }
+
+    @Test
+    void anAttemptIsNotForgottenWhileItsLaunchMayArrive() {
+        job(101);
+        Machine m = up("host-1");
+        Cluster.Call call = launch(m);
+        cluster.called(call, false, false, null);
+        Report.Task ended = task("wk-1", 0, call.launches().get(0).number(), State.EXITED, Why.ERROR);
+        cluster.reported(report("host-1", 1, 50, TERM, ended), true);
+        assertTrue(placeable(), "it is over there");
+        assertFalse(ops(cluster.responseCommands(m)).contains(Command.Op.FORGET));
+        assertTrue(m.barred().contains(TASK), "and must go elsewhere");
+    }
+
+    // What ends an attempt
+
+    @Test
+    void aSilentMachineHoldsItsTasksForItsLease() {
+        job(101);
+        Machine m = up("host-1");
+        Cluster.Call call = launch(m);
+        cluster.called(call, true, false, report("host-1", 1, 50, TERM,
+                task("wk-1", 0, call.launches().get(0).number(), State.RUNNING, Why.NONE)));
+        loop.pass(Samples.LEASE_S);
+        cluster.expireLeases();
+        assertFalse(placeable());
+        loop.pass(1);
+        cluster.expireLeases();
+        assertTrue(placeable());
+        cluster.reported(report("host-1", 1, 70, TERM, task("wk-1", 0, call.launches().get(0).number(),
+                State.RUNNING, Why.NONE)), true);
+        assertTrue(placeable(), "a late report of a session that is over changes nothing");
+    }
+
+    @Test
+    void directAnswersRenewNoLease() {
+        job(101);
+        Machine m = up("host-1");
+        Cluster.Call call = launch(m);
+        loop.pass(Samples.LEASE_S - 1);
+        cluster.called(call, true, false, report("host-1", 1, 50, TERM,
+                task("wk-1", 0, call.launches().get(0).number(), State.RUNNING, Why.NONE)));
+        loop.pass(2);
+        cluster.expireLeases();
+        assertTrue(placeable());
+    }
+
+    @Test
+    void olderReportsChangeNothing() {
+        job(101);
+        Machine m = up("host-1");
+        Cluster.Call call = launch(m);
+        long attempt = call.launches().get(0).number();
+        cluster.called(call, true, false, report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)));
+        cluster.reported(report("host-1", 1, 49, TERM), true);
+        cluster.reported(report("host-1", 0, 99, TERM), true);
+        assertFalse(placeable());
+    }
+
+    /** Known since, missing from a list that was asked for then: is it gone? */
+    @ParameterizedTest
+    @CsvSource({"1, false", "9, false", "15, true"})
+    void aListProvesAbsenceOnlyWhenItIsNewEnough(double age, boolean gone) {
+        job(101);
+        Machine m = up("host-1");
+        launch(m);
+        loop.pass(age);
+        cluster.listedOnly(Set.of(), loop.now());
+        assertEquals(gone, cluster.machine("host-1") == null);
+        assertEquals(gone, placeable());
+        if (gone) {
+            assertNull(cluster.reported(report("host-1", 1, 99, TERM), true), "its late reports are not answered");
+        }
+    }
+
+    @Test
+    void aFailedMachineHoldsNothing() {
+        job(101);
+        Machine m = up("host-1");
+        launch(m);
+        cluster.listed("host-1", "10.1.0.1:9000", "big", "a", true, true, 50);
+        assertTrue(placeable());
+        assertFalse(m.usable(loop.now()));
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Why.class, names = {"STOPPED", "ERROR", "NO_ROOM", "BUSY", "UNKNOWN", "DONE"})
+    void onlyDoneIsDone(Why why) {
+        job(101);
+        Machine m = up("host-1");
+        Cluster.Call call = launch(m);
+        cluster.called(call, true, false, report("host-1", 1, 50, TERM,
+                task("wk-1", 0, call.launches().get(0).number(), State.EXITED, why)));
+        assertEquals(why == Why.DONE, cluster.job("wk-1").complete());
+        assertEquals(why != Why.DONE, placeable());
+        assertEquals(why != Why.DONE, ops(cluster.responseCommands(m)).contains(Command.Op.FORGET),
+                "a result is kept until the state service knows of it");
+    }
+
+    // Bad machines and bad jobs
+
+    @Test
+    void tellsABadMachineFromABadJob() {
+        for (int i = 0; i < 2; i++) {
+            cluster.addJob(Samples.job("wk-" + i, "red", Priority.STANDARD, 1, 4), KEY + 1, 0, new BitSet());
+        }
+        Machine bad = up("host-1");
+        for (int i = 0; i < Cluster.STRIKES; i++) {
+            cluster.reported(report("host-1", 1, 100 + 2 * i, TERM, task("wk-" + i, 0, 7, State.RUNNING, Why.NONE)), true);
+            cluster.reported(report("host-1", 1, 101 + 2 * i, TERM, task("wk-" + i, 0, 7, State.EXITED, Why.ERROR)), true);
+        }
+        assertTrue(bad.distrusted());
+        assertEquals(2, cluster.pending().size(), "the jobs are not to blame");
+
+        for (int i = 2; i < 5; i++) {
+            up("host-" + i);
+            cluster.reported(report("host-" + i, 1, 200, TERM, task("wk-1", 0, 7 + i, State.RUNNING, Why.NONE)), true);
+            cluster.reported(report("host-" + i, 1, 201, TERM, task("wk-1", 0, 7 + i, State.EXITED, Why.ERROR)), true);
+        }
+        assertEquals(List.of("wk-0"), cluster.pending().stream().map(p -> p.job.id()).toList());
+        assertFalse(cluster.machine("host-4").distrusted());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/fleet/FleetTest.java
@@ -0,0 +1,73 @@
+package org.saffronshore.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.Samples;
+import org.saffronshore.scheduling.Plan;
+import org.saffronshore.scheduling.Room;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.MachineType;
+import org.saffronshore.wire.Priority;
+
+class FleetTest {
+    private static final Map<String, MachineType> TYPES = Map.of(
+            "small", new MachineType("small", 4, 0, 64, 50, 1, 0.32, 0.13, 40, List.of("a", "b")),
+            "large", new MachineType("large", 16, 0, 64, 50, 1, 0.95, 0.37, 40, List.of("a")));
+
+    private static JobSpec job(double cpus, boolean spot, String zone) {
+        return new JobSpec("wk-1", "class", "red", Priority.URGENT, 100, cpus, 0, 1, "image", 1, null, zone, false,
+                false, spot, 30, 0, 0, 100);
+    }
+
+    /** Tasks, CPUs of each, spot, zone, kinds that the cloud lacks; then what is rented. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "1 | 4 | true  |   |             | 1 spot small in a", "4 | 4 | true |   |  | 1 spot large in a",
+        "1 | 8 | true  |   |             | 1 spot large in a", "1 | 4 | false |  |  | 1 ordinary small in a",
+        "1 | 4 | true  | b |             | 1 spot small in b", "2 | 3 | true | b |  | 2 spot small in b",
+        "1 | 4 | true  |   | spot small in a | 1 spot small in b",
+        "1 | 8 | true  |   | spot large in a | 1 ordinary large in a", "1 | 17 | true |  |  | nothing"})
+    void rentsTheCheapest(int tasks, double cpus, boolean spot, String zone, String lacking, String expected) {
+        var orders = FleetPlan.orders(TYPES, List.of(new Plan.Unmet(job(cpus, spot, zone), tasks)), List.of(), Map.of(),
+                kind -> !kind.toString().equals(lacking));
+        String text = orders.entrySet().stream().map(e -> e.getValue() + " " + e.getKey())
+                .collect(Collectors.joining(", "));
+        assertEquals(expected, text.isEmpty() ? "nothing" : text);
+    }
+
+    @Test
+    void spreadsOverZones() {
+        var orders = FleetPlan.orders(TYPES, List.of(new Plan.Unmet(job(3, true, null), 4)), List.of(), Map.of("a", 9),
+                kind -> kind.type().equals("small"));
+        assertEquals(Map.of(new Kind("small", "b", true), 4), orders);
+    }
+
+    /** One machine of 8 CPUs whose room becomes free in so many seconds; a new machine would be there in 40. */
+    @ParameterizedTest
+    @CsvSource({"10, 1, 0", "39, 1, 0", "41, 1, 1", "10, 3, 1", "10, 2, 0"})
+    void countsOnWhatBecomesFree(double freeIn, int tasks, int late) {
+        Room room = new Room(8, 0, 64);
+        Forecast.Line line = new Forecast.Line(new Kind("small", "a", true), room, 0);
+        JobSpec running = Samples.job("wk-2", "red", Priority.URGENT, 1, 8);
+        room.take(running);
+        line.running(running, freeIn);
+        var left = Forecast.late(List.of(line), List.of(new Plan.Unmet(job(4, true, null), tasks)), j -> 60, j -> 40);
+        assertEquals(late, left.stream().mapToInt(Plan.Unmet::tasks).sum());
+    }
+
+    @Test
+    void expectsClassesThatStillCome() {
+        Arrivals arrivals = new Arrivals();
+        for (int i = 0; i < 4; i++) {
+            arrivals.saw(Samples.job("wk-" + i, "red", Priority.URGENT, 2 + 2 * (i % 2), 4), i * 10);
+        }
+        assertEquals(3, arrivals.expected(35, 1).get(0).tasks());
+        assertEquals(List.of(), arrivals.expected(100, 1));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/http/HttpTest.java
@@ -0,0 +1,63 @@
+package org.saffronshore.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.saffronshore.config.Settings.Address;
+
+/** The server and the client against each other, over loopback. */
+class HttpTest {
+    private final NettyLoop loop = new NettyLoop();
+    private final HttpClient client = new HttpClient(loop, loop.group(), 10);
+    private final HttpServer server = new HttpServer((request, reply) -> {
+        if (request.path().equals("/later")) {
+            reply.later(503, "not now", 7);
+        } else if (!request.path().equals("/never")) {
+            reply.send(200, Reply.JSON, (request.method() + " " + request.path() + " " + request.body().length)
+                    .getBytes(StandardCharsets.UTF_8), 0);
+        }
+    }, 10);
+    private Address address;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        server.start(loop.group(), new Address("127.0.0.1", 0));
+        address = new Address("127.0.0.1", server.port());
+    }
+
+    @AfterEach
+    void stop() {
+        loop.group().shutdownGracefully();
+    }
+
+    private Answer ask(Address to, String path, int bytes, double timeoutS) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        loop.soon(() -> client.send(to, "POST", path, new byte[bytes], timeoutS, answer::complete));
+        return answer.join();
+    }
+
+    @Test
+    void answersAgainAndAgain() {
+        for (int i = 0; i < 30; i++) {
+            assertEquals("POST /x " + i, new String(ask(address, "/x", i, 60).body(), StandardCharsets.UTF_8));
+        }
+        assertEquals(503, ask(address, "/later", 0, 60).status());
+    }
+
+    /** To users 413 would mean: try again. */
+    @Test
+    void anOverlongBodyIsMalformed() {
+        assertEquals(200, ask(address, "/x", HttpServer.MOST_BODY, 60).status());
+        assertEquals(400, ask(address, "/x", HttpServer.MOST_BODY + 1, 60).status());
+    }
+
+    @Test
+    void tellsWhatWasNotSentFromWhatWasLost() {
+        assertEquals(Answer.NOT_SENT, ask(new Address("127.0.0.1", 1), "/x", 0, 60));
+        assertEquals(Answer.LOST, ask(address, "/never", 0, 0.05));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/scheduling/CycleTest.java
@@ -0,0 +1,193 @@
+package org.saffronshore.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.Samples;
+import org.saffronshore.config.Settings;
+import org.saffronshore.fleet.Kind;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Priority;
+import org.saffronshore.wire.TaskId;
+
+class CycleTest {
+    private final List<Host> hosts = new ArrayList<>();
+    private final List<Pending> jobs = new ArrayList<>();
+    private final Map<String, Team> teams = new HashMap<>();
+
+    private void team(String name, double guarantee, double most) {
+        teams.put(name, new Team(new Settings.Team(name, guarantee, most, 0, 0), guarantee > 0 ? guarantee : 1));
+    }
+
+    private Host host(String id, String zone, boolean spot, double cpus, TaskId... barred) {
+        Host host = new Host(id, new Kind("big", zone, spot), new Room(cpus, 0, 1000), new HashSet<>(Arrays.asList(barred)),
+                Set.of());
+        hosts.add(host);
+        return host;
+    }
+
+    private void running(Host host, JobSpec job, int from, int to) {
+        for (int i = from; i < to; i++) {
+            host.add(new Slot(new TaskId(job.id(), i), job, false, 10));
+            teams.get(job.team()).use(job, Tuning.START, 1);
+        }
+    }
+
+    private void queued(JobSpec job, long order) {
+        jobs.add(new Pending(job, order, IntStream.range(0, job.tasks()).boxed().toList(), Map.of()));
+    }
+
+    private Plan run(double evictionProbability) {
+        Tuning tuning = new Tuning(5, evictionProbability, 1, 0);
+        return Cycle.run(hosts, jobs, teams, tuning, evictionProbability > 0, new Random(1));
+    }
+
+    private static long placed(Plan plan, String job) {
+        return plan.placements().stream().filter(p -> p.task().job().equals(job)).count();
+    }
+
+    /** The paper's example: 40 tasks of A on two machines of 32 cores, then 50 of B; each gets 32, and 8 are stopped. */
+    @Test
+    void sharesTwoMachinesAsInThePaper() {
+        team("A", 32, 0);
+        team("B", 32, 0);
+        JobSpec a = Samples.job("wk-1", "A", Priority.STANDARD, 40, 1);
+        running(host("one", "a", false, 32), a, 0, 32);
+        running(host("two", "a", false, 32), a, 32, 40);
+        queued(Samples.job("wk-2", "B", Priority.STANDARD, 50, 1), 2);
+        Plan plan = run(1);
+        assertEquals(24, placed(plan, "wk-2"));
+        assertEquals(8, plan.stops().size());
+        assertEquals(18, plan.unmet().stream().mapToInt(Plan.Unmet::tasks).sum());
+    }
+
+    /** Who gets a machine of 8 CPUs: guarantees first, then classes, then the smaller share, then the earlier job. */
+    @ParameterizedTest
+    @CsvSource({
+        "G, STANDARD, 1, F, URGENT, 2, wk-1", "F, URGENT, 2, H, STANDARD, 1, wk-1", "F, STANDARD, 1, H, URGENT, 2, wk-2",
+        "F, STANDARD, 1, F, URGENT, 2, wk-2", "F, STANDARD, 1, F, STANDARD, 2, wk-1",
+        "F, STANDARD, 2, F, STANDARD, 1, wk-2", "F, STANDARD, 1, U, STANDARD, 2, wk-2"})
+    void ordersWhatWaits(String team1, Priority class1, long order1, String team2, Priority class2, long order2,
+            String winner) {
+        team("G", 8, 0);
+        team("F", 0, 0);
+        team("H", 0, 0);
+        team("U", 0, 0);
+        teams.get("F").use(Samples.job("wk-9", "F", Priority.IDLE, 1, 4), Tuning.START, 1);
+        host("one", "a", false, 8);
+        queued(Samples.job("wk-1", team1, class1, 1, 8), order1);
+        queued(Samples.job("wk-2", team2, class2, 1, 8), order2);
+        Plan plan = run(0);
+        assertEquals(List.of(winner), plan.placements().stream().map(p -> p.task().job()).toList());
+        assertTrue(plan.stops().isEmpty());
+    }
+
+    /** What runs on the only machine, what waits, and whether the one may be stopped for the other. */
+    @ParameterizedTest
+    @CsvSource({
+        "F, STANDARD, H, URGENT, true", "F, URGENT, H, URGENT, false", "F, URGENT, H, STANDARD, false",
+        "F, STANDARD, G, STANDARD, true", "F, URGENT, G, STANDARD, true", "G, STANDARD, F, URGENT, false",
+        "G, STANDARD, G, URGENT, true", "F, STANDARD, F, STANDARD, false"})
+    void stopsOnlyWhatTheRulesAllow(String runs, Priority runsClass, String waits, Priority waitsClass, boolean stops) {
+        team("G", 8, 0);
+        team("F", 0, 0);
+        team("H", 0, 0);
+        running(host("one", "a", false, 8), Samples.job("wk-1", runs, runsClass, 1, 8), 0, 1);
+        queued(Samples.job("wk-2", waits, waitsClass, 1, 8), 2);
+        for (double probability : new double[] {0, 1}) {
+            Plan plan = run(probability);
+            assertEquals(stops, !plan.stops().isEmpty());
+            assertEquals(0, plan.placements().size(), "nothing starts before the room is free");
+            if (stops) {
+                return;
+            }
+        }
+    }
+
+    /** Higher class in one cycle, and the lower one neither placed in its way nor started to be stopped. */
+    @Test
+    void doesNotTakeTurns() {
+        team("F", 0, 0);
+        team("H", 0, 0);
+        Host one = host("one", "a", false, 8);
+        JobSpec low = Samples.job("wk-1", "F", Priority.STANDARD, 1, 8);
+        one.add(new Slot(new TaskId("wk-1", 0), low, true, 0));
+        queued(Samples.job("wk-3", "F", Priority.STANDARD, 1, 8), 1);
+        teams.get("H").use(Samples.job("wk-8", "H", Priority.URGENT, 1, 4), Tuning.START, 1);
+        queued(Samples.job("wk-2", "H", Priority.URGENT, 1, 8), 2);
+        Plan plan = run(0);
+        assertTrue(plan.placements().isEmpty() && plan.stops().isEmpty());
+        assertEquals(List.of("wk-3"), plan.unmet().stream().map(u -> u.job().id()).toList());
+    }
+
+    @Test
+    void packsTheOwnMachineThenSharedThenEmpty() {
+        team("F", 0, 0);
+        team("H", 0, 0);
+        Host own = host("own", "a", false, 8);
+        Host shared = host("shared", "a", false, 8);
+        host("empty", "a", false, 8);
+        running(own, Samples.job("wk-1", "F", Priority.STANDARD, 1, 4), 0, 1);
+        running(shared, Samples.job("wk-2", "H", Priority.STANDARD, 1, 4), 0, 1);
+        queued(Samples.job("wk-3", "F", Priority.STANDARD, 3, 4), 1);
+        assertEquals(List.of("own", "shared", "empty"),
+                run(0).placements().stream().map(Plan.Placement::host).toList());
+    }
+
+    /** Constraints of a job of 4 tasks, and how many of them two zones with room for all can take. */
+    @ParameterizedTest
+    @CsvSource({"false, false, , true, 0, 4", "true, false, , true, 0, 4", "false, true, , true, 0, 4",
+        "false, false, b, true, 0, 4", "false, false, c, true, 0, 0", "false, false, , false, 0, 2",
+        "false, false, , true, 6, 2", "false, false, , true, 1, 0"})
+    void keepsConstraints(boolean oneZone, boolean spread, String zone, boolean spot, double limit, int expected) {
+        team("F", 0, limit);
+        host("a", "a", true, 16);
+        host("b", "b", true, 16);
+        host("c", "a", false, 6);
+        JobSpec job = new JobSpec("wk-1", "class", "F", Priority.STANDARD, 4, 3, 0, 1, "image", 1, null, zone, oneZone,
+                spread, spot, 30, 0, 0, 100);
+        queued(job, 1);
+        Plan plan = run(0);
+        assertEquals(expected, plan.placements().size());
+        Map<String, Integer> perZone = new HashMap<>();
+        plan.placements().forEach(p -> perZone.merge(p.host().equals("b") ? "b" : "a", 1, Integer::sum));
+        if (oneZone) {
+            assertEquals(1, perZone.size());
+        }
+        if (spread) {
+            assertTrue(perZone.values().stream().allMatch(n -> n <= 2));
+        }
+    }
+
+    /** Other tasks of the job that are placed already decide where the rest may go. */
+    @Test
+    void countsTheJobsOtherTasks() {
+        team("F", 0, 0);
+        host("a", "a", false, 16);
+        host("b", "b", false, 16);
+        JobSpec job = new JobSpec("wk-1", "class", "F", Priority.STANDARD, 9, 1, 0, 1, "image", 1, null, null, false,
+                true, true, 30, 0, 0, 100);
+        jobs.add(new Pending(job, 1, List.of(5, 6, 7, 8), Map.of("a", 5)));
+        assertTrue(run(0).placements().stream().allMatch(p -> p.host().equals("b")));
+    }
+
+    @Test
+    void avoidsMachinesWithATraceOfTheTask() {
+        team("F", 0, 0);
+        host("a", "a", false, 16, new TaskId("wk-1", 0));
+        queued(Samples.job("wk-1", "F", Priority.STANDARD, 2, 1), 1);
+        assertEquals(List.of(), run(0).placements().stream().filter(p -> p.task().index() == 0).toList());
+    }
+}
