Time given by peers: a leader outlives an outage of the state service; quota under eviction

A leader may act beyond its permit while a majority of controllers gives it time; a new one needs the free key and a majority's time, or proof that the last leader's process is over. Cancellations bound how long. Cause: the limit was checked against a team's share, from which evicted tasks are taken in memory while they still run; the team's urgent task then started elsewhere.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -869,7 +869,7 @@
             for (Attempt a : m.attempts.values()) {
                 Team team = a.job == null ? null : teams.get(a.job.team());
                 if (team != null) {
-                    team.use(a.job, tuning, 1);
+                    team.use(a.job, tuning);
                 }
             }
         }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -101,7 +101,7 @@
     }
 
     void start() {
-        watchedAt = loop.now();
+        watched(loop.now());
         load();
         repeat(settings.reportS() / 12, this::tick);
         repeat(settings.reportS() / 3, this::saveProgress);
@@ -208,13 +208,14 @@
         if (ended) {
             return;
         }
-        state.watch(Keys.JOBS, from, settings.cancelS() / 10, answer -> {
+        double askedAt = loop.now();
+        state.watch(Keys.JOBS, from, settings.cancelS() / 20, answer -> {
             if (ended) {
                 return;
             }
             JsonNode body = answer.ok() ? answer.json() : null;
             if (body != null && body.path("Events").isArray()) {
-                watchedAt = loop.now();
+                watched(askedAt);
                 changes(body.get("Events"));
                 watch(Json.count(body, "Ledger", from));
             } else if (answer.status() == 410) {
@@ -225,6 +226,16 @@
         });
     }
 
+    /**
+     * The peers' time lets a leader act without the state service only as long as a cancellation that it cannot
+     * see is still carried out in time: should it stop acting then, the workers' leases end the rest.
+     */
+    private void watched(double askedAt) {
+        watchedAt = askedAt;
+        leadership.boundGrants(watchedAt
+                + settings.cancelS() - Settings.stretched(settings.leaseS()) - 2 * settings.reportS());
+    }
+
     private void changes(JsonNode events) {
         for (JsonNode e : events) {
             String set = Json.text(e, "Set");
@@ -245,6 +256,7 @@
     }
 
     private void relist() {
+        double askedAt = loop.now();
         state.list(Keys.JOBS, jobs -> {
             if (ended) {
                 return;
@@ -263,7 +275,7 @@
                     remove(job.spec().id());
                 }
             }
-            watchedAt = loop.now();
+            watched(askedAt);
             watch(jobs.revision());
             act();
         });
@@ -318,7 +330,7 @@
     }
 
     private void tick() {
-        if (loop.now() > watchedAt + settings.cancelS() / 3) {
+        if (leadership.permitted() && loop.now() > watchedAt + settings.cancelS() / 3) {
             leadership.stepDown("cancellations cannot be read");
             return;
         }
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -55,8 +55,8 @@
         this.state = new StateClient(loop, client, settings);
         this.store = new JobStore(loop, state, settings);
         this.cloud = new CloudClient(loop, client, settings);
-        this.leadership = new Leadership(loop, state, settings, random, this);
         this.peers = new PeerLink(this);
+        this.leadership = new Leadership(loop, state, settings, random, this, peers);
         this.users = new UserApi(loop, settings, store, metrics, () -> types, this::progress);
         this.admin = new AdminApi(state, metrics, settings.teams().keySet(), this::status);
         this.admission = new Admission(loop, MOST_QUEUED);
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -2,20 +2,26 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.saffronshore.config.Settings;
 import org.saffronshore.config.Settings.Peer;
 import org.saffronshore.http.Client;
 import org.saffronshore.http.Loop;
 import org.saffronshore.http.Reply;
 import org.saffronshore.http.Request;
+import org.saffronshore.leadership.Ballot;
 import org.saffronshore.wire.Json;
 
 /** What the controllers tell one another, in CBOR: whether the state service serves them, and jobs' progress. */
-final class PeerLink {
+final class PeerLink implements Ballot {
     static final String CBOR = "application/cbor";
     private static final String HELLO = "/peer/hello";
+    private static final String VOTE = "/peer/vote";
+    private static final String GIVE_UP = "/peer/giveup";
 
     private final Loop loop;
     private final Settings settings;
@@ -41,18 +47,23 @@
 
     private void hello() {
         byte[] body = Json.cbor(greeting());
+        double askedAt = loop.now();
+        long term = node.leadership().term();
         for (Peer peer : settings.peers()) {
             client.send(peer.address(), "POST", HELLO, body, periodS * 2, answer -> {
                 JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
                 if (back != null) {
                     heard(back);
+                    if (Json.flag(back, "granted") && term == node.leadership().term()) {
+                        node.leadership().granted(peer.node(), askedAt);
+                    }
                 }
             });
         }
     }
 
     private ObjectNode greeting() {
-        ObjectNode o = Json.object().put("node", settings.node()).put("served", node.served());
+        ObjectNode o = self();
         Leader leader = node.actingLeader();
         if (leader != null) {
             o.put("term", leader.cluster().term());
@@ -83,18 +94,66 @@
         }
     }
 
+    private ObjectNode self() {
+        return Json.object().put("node", settings.node()).put("life", node.leadership().incarnation())
+                .put("served", node.served());
+    }
+
+    @Override
+    public void ask(long term, Consumer<List<Vote>> then) {
+        List<Vote> votes = new ArrayList<>();
+        int[] missing = {settings.peers().size()};
+        if (missing[0] == 0) {
+            then.accept(votes);
+            return;
+        }
+        byte[] body = Json.cbor(self().put("term", term));
+        for (Peer peer : settings.peers()) {
+            client.send(peer.address(), "POST", VOTE, body, periodS, answer -> {
+                JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
+                if (back != null && Json.text(back, "life") != null) {
+                    votes.add(new Vote(peer.node(), Json.text(back, "life"), Json.flag(back, "granted")));
+                }
+                if (--missing[0] == 0) {
+                    then.accept(votes);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void giveUp(long term) {
+        byte[] body = Json.cbor(self().put("term", term));
+        for (Peer peer : settings.peers()) {
+            client.send(peer.address(), "POST", GIVE_UP, body, periodS, answer -> { });
+        }
+    }
+
     /** Answers what is meant for the peer link; false when the path is not. */
     boolean handle(Request request, Reply reply) {
-        if (!request.path().equals(HELLO)) {
+        String path = request.path();
+        if (!path.equals(HELLO) && !path.equals(VOTE) && !path.equals(GIVE_UP)) {
             return false;
         }
-        JsonNode hello = request.body() == null ? null : Json.parseCbor(request.body());
-        if (!request.is("POST") || hello == null) {
+        JsonNode message = request.body() == null ? null : Json.parseCbor(request.body());
+        String from = message == null ? null : Json.text(message, "node");
+        String life = message == null ? null : Json.text(message, "life");
+        if (!request.is("POST") || from == null || life == null) {
             reply.error(400, "not a message of a peer");
             return true;
         }
-        heard(hello);
-        reply.send(200, CBOR, Json.cbor(Json.object().put("node", settings.node()).put("served", node.served())), 0);
+        long term = Json.count(message, "term", -1);
+        ObjectNode answer = self();
+        if (path.equals(GIVE_UP)) {
+            node.leadership().peerGaveUp(from, life, term);
+        } else {
+            if (path.equals(HELLO)) {
+                heard(message);
+            }
+            answer.put("granted", term >= 0 && node.leadership().give(from, life, term, path.equals(VOTE),
+                    Json.flag(message, "served"), node.served()));
+        }
+        reply.send(200, CBOR, Json.cbor(answer), 0);
         return true;
     }
 
--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -1,6 +1,7 @@
 package org.saffronshore.leadership;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Answer;
@@ -14,9 +15,12 @@
 
 /**
  * Who leads. The leader holds a key that hangs on a permit of the state service; in the transaction that sets
- * the key, the term is raised, and the term is the token that fences commands to workers. A leader acts only
- * while its permit provably lives, counted from when it sent the last renewal that succeeded, on a clock that
- * may run slow. So one leader's last act precedes the end of its key, which precedes the next leader's first act.
+ * the key, the term is raised, and the term is the token that fences commands to workers. A leader acts while its
+ * permit provably lives, counted from when it sent the last renewal that succeeded, on a clock that may run slow;
+ * beyond that only while a majority of controllers gives it time, see {@link Grants}.
+ *
+ * <p>A new leader needs the free key, and either a majority's time or proof that the last leader's process is over.
+ * So whatever let the last one act is over before the new one acts for the first time.
  */
 public final class Leadership {
 
@@ -38,6 +42,8 @@
     private final Settings settings;
     private final RandomGenerator random;
     private final Listener listener;
+    private final Ballot ballot;
+    private final Grants grants;
     private final double lifeS;
     /** Tells this life of the process from earlier ones of the same node. */
     private final String incarnation;
@@ -50,9 +56,12 @@
     private double validUntil = Double.NEGATIVE_INFINITY;
     private int renewal;
     private String leaderNode;
+    private long leaderTerm = -1;
     private long watchFrom = -1;
+    private double grantsBoundedBy = Double.NEGATIVE_INFINITY;
 
-    public Leadership(Loop loop, StateClient state, Settings settings, RandomGenerator random, Listener listener) {
+    public Leadership(Loop loop, StateClient state, Settings settings, RandomGenerator random, Listener listener,
+            Ballot ballot) {
         this.loop = loop;
         this.state = state;
         this.settings = settings;
@@ -60,6 +69,8 @@
         this.listener = listener;
         this.lifeS = Math.max(0.1, settings.leaseS() * LIFE_PER_LEASE);
         this.incarnation = Long.toHexString(random.nextLong());
+        this.ballot = ballot;
+        this.grants = new Grants(loop, lifeS, settings.controllers());
     }
 
     public void start() {
@@ -68,9 +79,47 @@
 
     /** Whether this node may act for the controllers at this moment. */
     public boolean acting() {
+        double now = loop.now();
+        return leading && (now < validUntil || now < grantsBoundedBy && now < grants.heldUntil());
+    }
+
+    /** Whether the permit itself is known to live, not only the time that the peers give. */
+    public boolean permitted() {
         return leading && loop.now() < validUntil;
     }
 
+    /** Beyond this moment the peers' time does not help: cancellations might be unknown here for too long. */
+    public void boundGrants(double until) {
+        grantsBoundedBy = until;
+    }
+
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /** Time that a peer gave to this leader when asked at that moment. */
+    public void granted(String peer, double askedAt) {
+        if (leading) {
+            grants.held(peer, askedAt);
+        }
+    }
+
+    /**
+     * Whether this node gives a peer time to lead. Time is for when the state service is away for all: a leader
+     * that it refuses alone, or whose key is gone, gets none.
+     */
+    public boolean give(String node, String life, long askedTerm, boolean candidate, boolean peerServed,
+            boolean served) {
+        if (acting() || served && (!peerServed || !candidate && askedTerm != leaderTerm)) {
+            return false;
+        }
+        return grants.give(node, life, askedTerm);
+    }
+
+    public void peerGaveUp(String node, String life, long askedTerm) {
+        grants.giveUp(node, life, askedTerm);
+    }
+
     public boolean leading() {
         return leading;
     }
@@ -101,6 +150,7 @@
             if (answer.ok() && body != null) {
                 JsonNode value = body.path("Data");
                 leaderNode = Json.text(value, "Node");
+                leaderTerm = Json.count(value, "Term", -1);
                 if (settings.node().equals(leaderNode) && !incarnation.equals(Json.text(value, "Life"))) {
                     // The key is of an earlier life of this very process, which is over: it need not be waited out.
                     leaderNode = null;
@@ -112,6 +162,7 @@
                 watchLeader();
             } else if (answer.status() == 404 && body != null) {
                 leaderNode = null;
+                leaderTerm = -1;
                 stand();
             } else {
                 leaderNode = null;
@@ -132,6 +183,7 @@
                 watchLeader();
             } else {
                 leaderNode = null;
+                leaderTerm = -1;
                 loop.after(random.nextDouble() * lifeS / 40, this::readLeader);
             }
         });
@@ -139,23 +191,50 @@
 
     private void stand() {
         standing = true;
+        state.get(Keys.TERM, true, read -> {
+            JsonNode old = read.json();
+            if (!read.ok() && read.status() != 404 || old == null) {
+                lost(0);
+                return;
+            }
+            JsonNode last = old.path("Data");
+            long lastTerm = read.ok() ? Json.count(last, "Term", 0) : 0;
+            ballot.ask(lastTerm + 1, votes -> {
+                if (isOver(last, votes) || lastTerm == 0 || elected(lastTerm + 1, votes)) {
+                    grant(lastTerm, read.ok() ? Json.count(old, "Stamp", 0) : 0);
+                } else {
+                    ballot.giveUp(lastTerm + 1);
+                    lost(0);
+                }
+            });
+        });
+    }
+
+    /** Whether the process that led last is over: another life of the same node has just answered, or is this one. */
+    private boolean isOver(JsonNode last, List<Ballot.Vote> votes) {
+        String node = Json.text(last, "Node");
+        String life = Json.text(last, "Life");
+        return settings.node().equals(node)
+                || votes.stream().anyMatch(v -> v.node().equals(node) && !v.life().equals(life));
+    }
+
+    private boolean elected(long next, List<Ballot.Vote> votes) {
+        long given = votes.stream().filter(Ballot.Vote::granted).count();
+        if (given + 1 < grants.majority()) {
+            return false;
+        }
+        return given >= grants.majority() || grants.give(settings.node(), incarnation, next);
+    }
+
+    private void grant(long lastTerm, long termVersion) {
         double sentAt = loop.now();
         state.grant(lifeS, granted -> {
             JsonNode body = granted.ok() ? granted.json() : null;
             if (body == null) {
                 lost(0);
-                return;
+            } else {
+                claim(Json.count(body, "Permit", 0), sentAt, lastTerm, termVersion);
             }
-            long mine = Json.count(body, "Permit", 0);
-            state.get(Keys.TERM, true, read -> {
-                JsonNode old = read.json();
-                if (!read.ok() && read.status() != 404 || old == null) {
-                    lost(mine);
-                    return;
-                }
-                claim(mine, sentAt, read.ok() ? Json.count(old.path("Data"), "Term", 0) : 0,
-                        read.ok() ? Json.count(old, "Stamp", 0) : 0);
-            });
         });
     }
 
@@ -163,7 +242,7 @@
         long next = lastTerm + 1;
         Txn txn = new Txn().guard(Keys.LEADER, 0).guard(Keys.TERM, termVersion)
                 .set(Keys.LEADER, Json.object().put("Node", settings.node()).put("Life", incarnation).put("Term", next), mine)
-                .set(Keys.TERM, Json.object().put("Term", next));
+                .set(Keys.TERM, Json.object().put("Term", next).put("Node", settings.node()).put("Life", incarnation));
         state.commit(txn, true, answer -> {
             JsonNode body = answer.ok() ? answer.json() : null;
             if (body == null) {
@@ -177,6 +256,8 @@
             term = next;
             keyVersion = Json.count(body, "Ledger", 0);
             validUntil = sentAt + Settings.shrunk(lifeS);
+            grantsBoundedBy = Double.NEGATIVE_INFINITY;
+            grants.holdNone();
             renewal++;
             LOG.info("{} leads term {}: the leader's key was free; permit {}", settings.node(), term, permit);
             listener.elected(term, keyVersion);
@@ -222,9 +303,9 @@
     }
 
     private void missed(int of, Answer answer) {
-        if (!acting()) {
+        if (!permitted()) {
             // Not the end yet: after an outage of the state service the permit has its full time once more.
-            LOG.debug("renewal failed with {}; not acting", answer.status());
+            LOG.debug("renewal failed with {}; acting on the peers' time: {}", answer.status(), acting());
         }
         loop.after(lifeS / 20, () -> {
             if (leading && of == renewal) {
@@ -242,8 +323,11 @@
         leading = false;
         renewal++;
         validUntil = Double.NEGATIVE_INFINITY;
+        grants.holdNone();
         leaderNode = null;
+        leaderTerm = -1;
         listener.deposed(why);
+        ballot.giveUp(term);
         state.release(permit, released -> loop.after(lifeS / 2, this::readLeader));
     }
 }
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -91,7 +91,7 @@
                     continue;
                 }
                 host.leave(slot);
-                owner.use(slot.job(), tuning, -1);
+                owner.share(slot.job(), tuning, -1);
                 queues.computeIfAbsent(slot.job().team(), t -> new ArrayList<>()).add(0, new Entry(null, slot, host));
                 touched.add(slot.job().team());
             }
@@ -150,7 +150,7 @@
         if (entry.evicted != null) {
             if (entry.home.room.fits(job)) {
                 entry.home.enter(job);
-                team.use(job, tuning, 1);
+                team.share(job, tuning, 1);
             } else {
                 stops.add(new Plan.Stop(entry.evicted.task(), entry.home.id, "another team's guarantee"));
             }
@@ -166,12 +166,12 @@
             host = preempt(pending, task, team);
         }
         if (host == null) {
-            unmet.put(pending, countUnmet(pending, team));
+            unmet.put(pending, team.tasksWithinLimit(job, pending.tasks.size()));
             return true;
         }
         pending.tasks.poll();
         pending.entered(host.kind.zone());
-        team.use(job, tuning, 1);
+        team.use(job, tuning);
         host.enter(job);
         if (host.free.fits(job)) {
             host.free.take(job);
@@ -180,15 +180,6 @@
         return pending.tasks.isEmpty();
     }
 
-    private int countUnmet(Pending pending, Team team) {
-        int most = pending.tasks.size();
-        JobSpec job = pending.job;
-        if (team.rights.cpusMax() > 0 && job.cpus() > 0) {
-            most = (int) Math.min(most, (team.rights.cpusMax() - team.cpus) / job.cpus() + 1e-6);
-        }
-        return most;
-    }
-
     /**
      * Machines used only by the team, then shared ones, then empty ones, and in each set the one with the least
      * free room; what is free now goes before what is only being freed. The design takes empty machines before
@@ -256,7 +247,7 @@
         }
         for (Slot victim : bestVictims) {
             best.leave(victim);
-            teams.get(victim.job().team()).use(victim.job(), tuning, -1);
+            teams.get(victim.job().team()).share(victim.job(), tuning, -1);
             stops.add(new Plan.Stop(victim.task(), best.id, guaranteed ? "the guarantee of " + pending.job.team()
                     : "higher priority of " + pending.job.id()));
         }
--- a/src/main/java/org/saffronshore/scheduling/Team.java
+++ b/src/main/java/org/saffronshore/scheduling/Team.java
@@ -11,13 +11,24 @@
     double cpus;
     double gpus;
     double cost;
+    /** What is on machines, evicted tasks included: they are there until they are proven gone. */
+    private double heldCpus;
+    private double heldGpus;
 
     public Team(Settings.Team rights, double weight) {
         this.rights = rights;
         this.weight = weight;
     }
 
-    public void use(JobSpec job, Tuning tuning, int sign) {
+    /** Counts a task that is on a machine, or is being put there. */
+    public void use(JobSpec job, Tuning tuning) {
+        share(job, tuning, 1);
+        heldCpus += job.cpus();
+        heldGpus += job.gpus();
+    }
+
+    /** Counts a task into the team's share, or out of it. The limit is about what is on machines, not about shares. */
+    void share(JobSpec job, Tuning tuning, int sign) {
         cpus += sign * job.cpus();
         gpus += sign * job.gpus();
         cost += sign * tuning.cost(job);
@@ -27,11 +38,19 @@
     public void maybe(double maybeCpus, double maybeGpus) {
         cpus += maybeCpus;
         gpus += maybeGpus;
+        heldCpus += maybeCpus;
+        heldGpus += maybeGpus;
     }
 
     boolean withinLimit(JobSpec job) {
-        return (rights.cpusMax() <= 0 || cpus + job.cpus() <= rights.cpusMax() + CRUMB)
-                && (rights.gpusMax() <= 0 || gpus + job.gpus() <= rights.gpusMax() + CRUMB);
+        return (rights.cpusMax() <= 0 || heldCpus + job.cpus() <= rights.cpusMax() + CRUMB)
+                && (rights.gpusMax() <= 0 || heldGpus + job.gpus() <= rights.gpusMax() + CRUMB);
+    }
+
+    /** How many more of such tasks the limit lets in. */
+    int tasksWithinLimit(JobSpec job, int most) {
+        return rights.cpusMax() <= 0 || job.cpus() <= 0 ? most
+                : (int) Math.min(most, (rights.cpusMax() - heldCpus) / job.cpus() + CRUMB);
     }
 
     boolean withinGuarantee(JobSpec job) {
--- a/src/test/java/org/saffronshore/StateStandIn.java
+++ b/src/test/java/org/saffronshore/StateStandIn.java
@@ -58,6 +58,11 @@
         }
     }
 
+    /** After an outage every permit has its full time once more. */
+    public void outlive(double outageS) {
+        permits.values().forEach(life -> life[1] += outageS + life[0]);
+    }
+
     public void deliverLate() {
         late.forEach(Runnable::run);
         late.clear();
@@ -107,6 +112,9 @@
     }
 
     private void expire() {
+        if (away.test("GET", "/kv/")) {
+            return;
+        }
         permits.entrySet().removeIf(e -> {
             if (e.getValue()[1] > loop.now()) {
                 return false;
