Relay reports to a leader that workers cannot reach; a leader cut off gives way

A follower relays the report of a worker that comes back from its redirect; a leader that hears neither peers nor most machines steps down.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -319,6 +319,19 @@
         }
     }
 
+    /** Whether most machines that are up have not been heard for a while. */
+    public boolean mostlySilent(double forS) {
+        int up = 0;
+        int silent = 0;
+        for (Machine m : machines.values()) {
+            if (m.up) {
+                up++;
+                silent += loop.now() > m.heardAt + forS ? 1 : 0;
+            }
+        }
+        return silent * 2 > up;
+    }
+
     private static void setAddress(Machine m, String address) {
         if (m.address == null && address != null) {
             try {
@@ -685,6 +698,11 @@
                 return;
             }
             boolean sending = a.state == Attempt.State.SENDING;
+            if (sending && !direct && m.failedCalls > 0 && a.inFlight == 0) {
+                // The worker reaches us, perhaps through a peer, and we do not reach it: its reports take launches.
+                a.sent = true;
+                a.loose = true;
+            }
             if (sending && (direct ? a.inFlight == 0 : a.loose)) {
                 // A launch that is in doubt is repeated until the worker shows it, also when it is not wanted any
                 // more: a worker that knows the attempt is over will not start it when the lost copy arrives.
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -53,6 +53,7 @@
     private final Leadership leadership;
     private final Metrics metrics;
     private final RandomGenerator random;
+    private final PeerLink peers;
     private final FleetKeeper fleet;
     private final Cluster cluster;
     private final long term;
@@ -75,6 +76,7 @@
         this.leadership = node.leadership();
         this.metrics = node.metrics();
         this.random = node.random();
+        this.peers = node.peers();
         this.term = term;
         this.cluster = new Cluster(loop, settings, term, keyVersion);
         this.fleet = new FleetKeeper(node, this, cluster, term);
@@ -337,6 +339,10 @@
         if (!loaded) {
             return;
         }
+        if (peers.alone(settings.reportS()) && cluster.mostlySilent(2 * settings.reportS())) {
+            leadership.giveWay("it hears neither its peers nor most machines");
+            return;
+        }
         cluster.expireLeases();
         cluster.retryCalls();
         act();
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -44,6 +44,7 @@
     private final UserApi users;
     private final AdminApi admin;
     private final Admission admission;
+    private final Redirects redirects;
     private Map<String, MachineType> types = Map.of();
     private Leader leader;
 
@@ -60,6 +61,7 @@
         this.users = new UserApi(loop, settings, store, metrics, () -> types, this::progress);
         this.admin = new AdminApi(state, metrics, settings.teams().keySet(), this::status);
         this.admission = new Admission(loop, MOST_QUEUED);
+        this.redirects = new Redirects(loop, settings.reportS());
         metrics.gauge("leading", () -> leadership.acting() ? 1 : 0);
         metrics.gauge("term", leadership::term);
         metrics.gauge("machines", () -> leader == null ? 0 : leader.cluster().machines().size());
@@ -86,6 +88,10 @@
         return metrics;
     }
 
+    PeerLink peers() {
+        return peers;
+    }
+
     StateClient state() {
         return state;
     }
@@ -210,16 +216,8 @@
     private void report(Request request, Reply reply) {
         metrics.add(Metrics.Count.REPORTS, 1);
         double began = loop.now();
-        Report report;
-        try {
-            JsonNode body = request.json();
-            if (body == null) {
-                throw new InvalidField("body", "is not JSON");
-            }
-            report = Report.parse(body);
-        } catch (InvalidField e) {
-            LOG.warn("a worker's report is malformed: {}", e.getMessage());
-            reply.error(400, e.getMessage());
+        Report report = parsed(request, reply);
+        if (report == null) {
             return;
         }
         ObjectNode answer = leader == null ? null : leader.report(report);
@@ -228,15 +226,51 @@
             reply.json(200, answer);
             return;
         }
+        String to = leadership.leaderNode();
+        if (to != null && redirects.cameBack(report.machine(), to)) {
+            peers.relay(to, request.body(), relayed -> {
+                if (relayed == null) {
+                    redirect(reply, null);
+                } else {
+                    metrics.add(Metrics.Count.RELAYED, 1);
+                    redirects.relayed(report.machine(), to);
+                    reply.json(200, relayed);
+                }
+            });
+        } else {
+            redirect(reply, to);
+        }
+    }
+
+    private void redirect(Reply reply, String to) {
         metrics.add(Metrics.Count.REDIRECTED, 1);
         ObjectNode redirect = Json.object();
-        String to = leadership.leaderNode();
         if (to != null && !to.equals(settings.node())) {
             redirect.put("Dispatcher", to);
         }
         reply.json(421, redirect);
     }
 
+    private static Report parsed(Request request, Reply reply) {
+        try {
+            JsonNode body = request.json();
+            if (body == null) {
+                throw new InvalidField("body", "is not JSON");
+            }
+            return Report.parse(body);
+        } catch (InvalidField e) {
+            LOG.warn("a worker's report is malformed: {}", e.getMessage());
+            reply.error(400, e.getMessage());
+            return null;
+        }
+    }
+
+    /** The answer to a report that a peer relays, or null when this node cannot answer for the controllers. */
+    ObjectNode reportAnswer(Request request, Reply reply) {
+        Report report = parsed(request, reply);
+        return report == null || leader == null ? null : leader.report(report);
+    }
+
     // Leading
 
     /** The leader's part of this node while it may act, or null. */
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -22,12 +22,15 @@
     private static final String HELLO = "/peer/hello";
     private static final String VOTE = "/peer/vote";
     private static final String GIVE_UP = "/peer/giveup";
+    private static final String REPORT = "/peer/report";
 
     private final Loop loop;
     private final Settings settings;
     private final Client client;
     private final Node node;
     private final double periodS;
+    /** When a peer last answered anything. */
+    private double answeredAt = Double.NEGATIVE_INFINITY;
     /** When each peer last said that the state service serves it. */
     private final Map<String, Double> servedAt = new HashMap<>();
     private Map<String, Progress> progress = Map.of();
@@ -53,6 +56,7 @@
             client.send(peer.address(), "POST", HELLO, body, periodS * 2, answer -> {
                 JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
                 if (back != null) {
+                    answeredAt = loop.now();
                     heard(back);
                     if (Json.flag(back, "granted") && term == node.leadership().term()) {
                         node.leadership().granted(peer.node(), askedAt);
@@ -94,6 +98,32 @@
         }
     }
 
+    /** Whether this node is alone as far as it can tell: it has peers, and none has answered for a while. */
+    boolean alone(double forS) {
+        return !settings.peers().isEmpty() && loop.now() > answeredAt + forS;
+    }
+
+    /** Hands a worker's report to the leader, and the leader's answer back; null when there is none in time. */
+    void relay(String leader, byte[] report, Consumer<JsonNode> then) {
+        for (Peer peer : settings.peers()) {
+            if (peer.node().equals(leader)) {
+                client.send(peer.address(), "POST", REPORT, report, settings.reportS() * 2 / 3,
+                        answer -> then.accept(answer.ok() ? answer.json() : null));
+                return;
+            }
+        }
+        then.accept(null);
+    }
+
+    private void relayed(Request request, Reply reply) {
+        ObjectNode answer = node.reportAnswer(request, reply);
+        if (answer == null) {
+            reply.later(503, "not the leader", 1);
+        } else {
+            reply.json(200, answer);
+        }
+    }
+
     private ObjectNode self() {
         return Json.object().put("node", settings.node()).put("life", node.leadership().incarnation())
                 .put("served", node.served());
@@ -132,6 +162,10 @@
     /** Answers what is meant for the peer link; false when the path is not. */
     boolean handle(Request request, Reply reply) {
         String path = request.path();
+        if (path.equals(REPORT)) {
+            relayed(request, reply);
+            return true;
+        }
         if (!path.equals(HELLO) && !path.equals(VOTE) && !path.equals(GIVE_UP)) {
             return false;
         }
--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -59,6 +59,7 @@
     private long leaderTerm = -1;
     private long watchFrom = -1;
     private double grantsBoundedBy = Double.NEGATIVE_INFINITY;
+    private double standAgainAt = Double.NEGATIVE_INFINITY;
 
     public Leadership(Loop loop, StateClient state, Settings settings, RandomGenerator random, Listener listener,
             Ballot ballot) {
@@ -163,7 +164,11 @@
             } else if (answer.status() == 404 && body != null) {
                 leaderNode = null;
                 leaderTerm = -1;
-                stand();
+                if (loop.now() < standAgainAt) {
+                    loop.after(pause(), this::readLeader);
+                } else {
+                    stand();
+                }
             } else {
                 leaderNode = null;
                 loop.after(pause(), this::readLeader);
@@ -314,6 +319,12 @@
         });
     }
 
+    /** Steps down for others, and leaves them the time of a worker's lease before trying again. */
+    public void giveWay(String why) {
+        standAgainAt = loop.now() + settings.leaseS() / 2;
+        stepDown(why);
+    }
+
     /** Gives the leadership up, on proof that it is gone or because another node would serve better. */
     public void stepDown(String why) {
         if (!leading) {
