Fill machines that may be taken back before ordinary ones

Cause: ordinary machines, rented for peaks at 2.5 times the price, kept getting tasks afterwards and were never idle.

--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -208,6 +208,9 @@
         if (Math.abs(a.cpus - b.cpus) > 1e-6) {
             return a.cpus < b.cpus;
         }
+        if (a.kind.spot() != b.kind.spot()) {
+            return a.kind.spot();
+        }
         int setA = a.set(job.team());
         int setB = b.set(job.team());
         if (setA != setB) {
@@ -217,10 +220,7 @@
         if (heldByA != b.holds(job.image())) {
             return heldByA;
         }
-        if (Math.abs(a.room.cpus - b.room.cpus) > 1e-6) {
-            return a.room.cpus < b.room.cpus;
-        }
-        return a.kind.spot() && !b.kind.spot();
+        return a.room.cpus < b.room.cpus - 1e-6;
     }
 
     /** Makes room on the host where that wastes the least work, by stops that the protocol allows; null if nowhere. */
