--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -397,10 +397,12 @@
             LOG.info("machine {} is up after {} s ({} in {}, spot {})", m.id, Math.round(now - m.rentedAt), m.type,
                     m.zone, m.spot);
         }
+        boolean noticedNow = false;
         if (r.noticeS() != null) {
             if (!m.noticed()) {
                 LOG.info("machine {} is to be taken back in {} s", m.id, r.noticeS());
                 changed = true;
+                noticedNow = true;
             }
             m.noticeUntil = now + r.noticeS();
         }
@@ -416,6 +418,9 @@
             }
         }
         m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
+        if (noticedNow) {
+            drain(m, r.noticeS());
+        }
         if (settledNow) {
             m.settled = true;
             unsettled.remove(m);
@@ -594,15 +599,47 @@
         }
     }
 
-    /** Lets the tasks on a machine save before the cloud takes it away. */
-    public void drain(Machine m) {
+    /**
+     * The cloud is going to take a machine away: tasks that save do so now, and those that cannot end in time go
+     * elsewhere at once. The notice may be off by half, so only what needs clearly less is left to run to its end.
+     */
+    private void drain(Machine m, double noticeS) {
+        double now = loop.now();
         for (Attempt a : m.allAttempts()) {
-            if (!a.stopping && a.job != null && a.state != Attempt.State.SENDING) {
+            if (a.job == null || a.stopping) {
+                continue;
+            }
+            double left = remainingS(a, now);
+            if (a.job.saves() ? left > noticeS / 2 : left > noticeS * 3 / 2) {
                 stop(a.task, m.id, "the machine is to be taken back");
             }
         }
     }
 
+    /** Whether everything on a machine saves its work, has run for a while and will run on, and may go anywhere. */
+    public boolean movable(Machine m, double leastRunS) {
+        double now = loop.now();
+        if (m.empty() || !m.usable(now)) {
+            return false;
+        }
+        for (Attempt a : m.attempts.values()) {
+            boolean free = a.job.saves() && !a.job.oneZone() && !a.job.spread();
+            if (!free || a.stopping || a.state != Attempt.State.RUNNING || now < a.runningSince + leastRunS
+                    || remainingS(a, now) < 4 * a.job.saveS()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Stops what is on a machine, with time to save, so that it goes on elsewhere. */
+    public void empty(Machine m) {
+        m.draining = true;
+        for (Attempt a : m.allAttempts()) {
+            stop(a.task, m.id, "the machine is to be returned");
+        }
+    }
+
     private boolean needsCall(Machine m) {
         if (!m.settled) {
             return true;
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -38,6 +38,8 @@
     double noticeUntil = Double.NaN;
     boolean failed;
     boolean returning;
+    /** Its tasks are moved elsewhere, so that it can be returned. */
+    boolean draining;
     boolean inRoster;
     boolean rosterBusy;
     int strikes;
@@ -93,6 +95,18 @@
         return returning;
     }
 
+    public boolean draining() {
+        return draining;
+    }
+
+    public int count() {
+        return attempts.size();
+    }
+
+    public double usedCpus() {
+        return attempts.values().stream().mapToDouble(a -> a.job == null ? 0 : a.job.cpus()).sum();
+    }
+
     public boolean failed() {
         return failed;
     }
@@ -128,7 +142,7 @@
 
     /** Whether new tasks may be put here. */
     public boolean usable(double now) {
-        return up && settled && inRoster && !returning && !failed && !noticed() && !distrusted() && now >= suspendedUntil
+        return up && settled && inRoster && !returning && !draining && !failed && !noticed() && !distrusted() && now >= suspendedUntil
                 && !unknownLoad();
     }
 
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.saffronshore.admin.Metrics;
 import org.saffronshore.cloud.CloudClient;
+import org.saffronshore.cluster.Attempt;
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.config.Settings;
@@ -42,6 +43,9 @@
     /** Room for this many typical jobs of each class is kept although it is idle. */
     private static final double SPARE_JOBS = 1;
 
+    /** A start counts for little when the task is stopped again sooner than this. */
+    private static final double LEAST_RUN_S = 30;
+
     private record Order(String name, Kind kind, int count, double askedAt) {}
 
     private static final class Refusal {
@@ -90,13 +94,60 @@
         if (!leader.loaded()) {
             return;
         }
+        giveBack();
+        rent();
+        if (unmet.isEmpty()) {
+            consolidate();
+        }
+    }
+
+    /**
+     * Empties the least used machine whose tasks all save their work, when the others have room for them: what a
+     * machine half empty costs is more than what it takes to save and go on elsewhere. One machine at a time.
+     */
+    private void consolidate() {
+        double now = loop.now();
+        List<Machine> leastFirst = new ArrayList<>();
         for (Machine m : cluster.machines()) {
-            if (m.noticed() && !m.failed()) {
-                cluster.drain(m);
+            if (m.draining()) {
+                return;
+            }
+            if (cluster.movable(m, LEAST_RUN_S) && now > m.rentedAt() + LEAST_CHARGED_S) {
+                leastFirst.add(m);
+            }
+        }
+        leastFirst.sort(Comparator.comparing(Machine::spot).thenComparingDouble(Machine::usedCpus));
+        for (Machine m : leastFirst) {
+            if (fitElsewhere(m)) {
+                LOG.info("emptying machine {}: {} tasks of it fit elsewhere", m.id(), m.count());
+                cluster.empty(m);
+                return;
             }
         }
-        giveBack();
-        rent();
+    }
+
+    private boolean fitElsewhere(Machine m) {
+        Map<Machine, Room> rooms = new LinkedHashMap<>();
+        for (Machine other : cluster.machines()) {
+            boolean worse = m.spot() && !other.spot();
+            Room room = other == m || other.empty() || worse ? null : cluster.freeOn(other);
+            if (room != null) {
+                rooms.put(other, room);
+            }
+        }
+        for (Attempt a : m.attempts()) {
+            boolean found = false;
+            for (var e : rooms.entrySet()) {
+                if (!found && e.getKey().kind().allows(a.job()) && e.getValue().fits(a.job())) {
+                    e.getValue().take(a.job());
+                    found = true;
+                }
+            }
+            if (!found) {
+                return false;
+            }
+        }
+        return true;
     }
 
     // The cloud's list
@@ -244,6 +295,9 @@
         if (!m.empty() || !m.settled()) {
             return null;
         }
+        if (m.draining()) {
+            return "its tasks went elsewhere";
+        }
         if (m.distrusted()) {
             return "it fails its tasks";
         }
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -20,6 +20,7 @@
 import org.saffronshore.HandLoop;
 import org.saffronshore.Samples;
 import org.saffronshore.wire.Command;
+import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Priority;
 import org.saffronshore.wire.Report;
 import org.saffronshore.wire.Report.State;
@@ -297,4 +298,39 @@
         assertEquals(List.of("wk-0"), cluster.pending().stream().map(p -> p.job.id()).toList());
         assertFalse(cluster.machine("host-4").distrusted());
     }
+
+    // Machines that go away
+
+    /** Saves or not, estimate of 30 s, seconds run before a notice of 10 s: is the task stopped for it at once? */
+    @ParameterizedTest
+    @CsvSource({"true, 1, true", "true, 24, false", "false, 1, true", "false, 20, false"})
+    void aNoticeStopsWhatCannotEndInTime(boolean saves, double ran, boolean stopped) {
+        JobSpec job = new JobSpec("wk-1", "class", "red", Priority.STANDARD, 1, 4, 0, 1, "image", 1, null, null, false,
+                false, true, 30, saves ? 10 : 0, saves ? 2 : 0, Double.POSITIVE_INFINITY);
+        cluster.addJob(job, 101, 0, new BitSet());
+        Machine m = up("host-1");
+        long attempt = launch(m).launches().get(0).number();
+        Report.Task running = task("wk-1", 0, attempt, State.RUNNING, Why.NONE);
+        cluster.reported(report("host-1", 1, 50, TERM, running), true);
+        loop.pass(ran);
+        cluster.reported(new Report("host-1", "10.1.0.1:9000", "big", "a", true, 1, 51, TERM, 10.0, List.of(running)), true);
+        assertEquals(stopped, m.attempts().iterator().next().stopping());
+        assertFalse(m.usable(loop.now()));
+    }
+
+    @Test
+    void onlyWhatSavesAndRanForAWhileIsMoved() {
+        JobSpec job = new JobSpec("wk-1", "class", "red", Priority.STANDARD, 1, 4, 0, 1, "image", 1, null, null, false,
+                false, true, 300, 10, 2, Double.POSITIVE_INFINITY);
+        cluster.addJob(job, 101, 0, new BitSet());
+        Machine m = up("host-1");
+        long attempt = launch(m).launches().get(0).number();
+        cluster.reported(report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)), true);
+        assertFalse(cluster.movable(m, 10));
+        loop.pass(11);
+        assertTrue(cluster.movable(m, 10));
+        cluster.empty(m);
+        assertTrue(m.draining() && !m.usable(loop.now()));
+        assertFalse(placeable(), "it is there until it has saved");
+    }
 }
