Refuse a job that the state service could not keep, before it takes others with it

A submission of up to 64 KiB is allowed, a value of the state service is 16 KiB: such a record failed its transaction, and so the submissions that shared it, again with every retry.

--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -22,6 +22,9 @@
     /** The soonest that the protocol lets a refused user come back. */
     private static final int SOON_S = 1;
 
+    /** What a job's record takes beside what its user sent. */
+    private static final int RECORD_BYTES = 128;
+
     private final Loop loop;
     private final Settings settings;
     private final JobStore store;
@@ -50,6 +53,10 @@
                 throw new InvalidField("body", "is not JSON");
             }
             job = JobSpec.parse(body);
+            // The state service would refuse the whole transaction, and with it the submissions that share it.
+            if (Json.bytes(job.toJson()).length > settings.valueKb() * 1024 - RECORD_BYTES) {
+                throw new InvalidField("body", "is longer than what can be kept of a job");
+            }
             if (types.get().isEmpty()) {
                 verdict = 503;
                 problem = "the machine types are not known yet";
--- a/src/test/java/org/saffronshore/control/NodeTest.java
+++ b/src/test/java/org/saffronshore/control/NodeTest.java
@@ -259,6 +259,13 @@
         process.ask("POST", "/work", job("wk-1", 1).toJson().put("Legs", -1), 200);
     }
 
+    /** What the state service cannot keep is refused by itself, and not with all that shares its transaction. */
+    @Test
+    void whatCannotBeKeptIsMalformed() {
+        process.ask("POST", "/work", job("wk-1", 1).toJson().put("Kit", "x".repeat(17 * 1024)), 400);
+        process.ask("POST", "/work", job("wk-1", 1).toJson().put("Kit", "x".repeat(14 * 1024)), 201);
+    }
+
     @Test
     void withoutTheStateServiceNothingIsGuessed() {
         state.away = (method, path) -> true;
