Close idle connections to machines that may be gone

Found by reading: a connection kept for reuse to a machine that vanished is never closed by anybody, and counts against what a node may open; after some hundred machines none could be reached. A test holds it.

--- a/src/main/java/org/saffronshore/cli/ControllerCommand.java
+++ b/src/main/java/org/saffronshore/cli/ControllerCommand.java
@@ -62,7 +62,8 @@
 
     static void run(Settings settings) throws InterruptedException {
         NettyLoop loop = new NettyLoop();
-        HttpClient client = new HttpClient(loop, loop.group(), Math.max(8, settings.sockets() / 4));
+        HttpClient client = new HttpClient(loop, loop.group(), Math.max(8, settings.sockets() / 4),
+                HttpClient.IDLE_S);
         Node node = new Node(loop, settings, client, RandomGenerator.of("L64X128MixRandom"));
         node.serve(loop.group());
         loop.soon(node::start);
--- a/src/main/java/org/saffronshore/http/HttpClient.java
+++ b/src/main/java/org/saffronshore/http/HttpClient.java
@@ -33,14 +33,21 @@
     /** Watches of the state service have no size limit; this bounds what a node takes into memory. */
     private static final int MOST_ANSWER = 16 * 1024 * 1024;
 
+    /** Idle connections are closed after this time: machines come and go, and one that is gone closes nothing. */
+    public static final double IDLE_S = 30;
+
+    private record Kept(Channel channel, Loop.Timer timer) {}
+
     private final Loop loop;
     private final int mostConnections;
+    private final double idleS;
     private final Bootstrap bootstrap;
-    private final Map<Address, ArrayDeque<Channel>> idle = new HashMap<>();
+    private final Map<Address, ArrayDeque<Kept>> idle = new HashMap<>();
     private int connections;
 
-    public HttpClient(Loop loop, IoEventLoopGroup group, int mostConnections) {
+    public HttpClient(Loop loop, IoEventLoopGroup group, int mostConnections, double idleS) {
         this.loop = loop;
+        this.idleS = idleS;
         this.mostConnections = mostConnections;
         this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -57,12 +64,7 @@
     public void send(Address to, String method, String path, byte[] body, double timeoutS, Answer.Receiver receiver) {
         Exchange exchange = new Exchange(to, method, path, body, receiver);
         exchange.timer = loop.after(timeoutS, exchange::fail);
-        ArrayDeque<Channel> waiting = idle.get(to);
-        Channel kept = null;
-        while (waiting != null && !waiting.isEmpty() && kept == null) {
-            Channel candidate = waiting.pollLast();
-            kept = candidate.isActive() ? candidate : null;
-        }
+        Channel kept = reuse(to);
         if (kept != null) {
             exchange.start(kept);
             return;
@@ -87,6 +89,36 @@
         });
     }
 
+    int connections() {
+        return connections;
+    }
+
+    private Channel reuse(Address to) {
+        ArrayDeque<Kept> waiting = idle.get(to);
+        while (waiting != null && !waiting.isEmpty()) {
+            Kept last = waiting.pollLast();
+            last.timer.cancel();
+            if (last.channel.isActive()) {
+                return last.channel;
+            }
+        }
+        return null;
+    }
+
+    private void keep(Address to, Channel channel) {
+        Loop.Timer timer = loop.after(idleS, () -> {
+            ArrayDeque<Kept> waiting = idle.get(to);
+            if (waiting != null) {
+                waiting.removeIf(k -> k.channel == channel);
+                if (waiting.isEmpty()) {
+                    idle.remove(to);
+                }
+            }
+            channel.close();
+        });
+        idle.computeIfAbsent(to, a -> new ArrayDeque<>()).addLast(new Kept(channel, timer));
+    }
+
     private final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Address to;
         private final String method;
@@ -134,7 +166,7 @@
                     channel.close();
                 } else {
                     channel.pipeline().remove(this);
-                    idle.computeIfAbsent(to, a -> new ArrayDeque<>()).addLast(channel);
+                    keep(to, channel);
                 }
             }
             receiver.receive(answer);
--- a/src/test/java/org/saffronshore/http/HttpTest.java
+++ b/src/test/java/org/saffronshore/http/HttpTest.java
@@ -12,7 +12,7 @@
 /** The server and the client against each other, over loopback. */
 class HttpTest {
     private final NettyLoop loop = new NettyLoop();
-    private final HttpClient client = new HttpClient(loop, loop.group(), 10);
+    private final HttpClient client = new HttpClient(loop, loop.group(), 10, HttpClient.IDLE_S);
     private final HttpServer server = new HttpServer((request, reply) -> {
         if (request.path().equals("/later")) {
             reply.later(503, "not now", 7);
@@ -35,8 +35,12 @@
     }
 
     private Answer ask(Address to, String path, int bytes, double timeoutS) {
+        return ask(client, to, path, bytes, timeoutS);
+    }
+
+    private Answer ask(HttpClient by, Address to, String path, int bytes, double timeoutS) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
-        loop.soon(() -> client.send(to, "POST", path, new byte[bytes], timeoutS, answer::complete));
+        loop.soon(() -> by.send(to, "POST", path, new byte[bytes], timeoutS, answer::complete));
         return answer.join();
     }
 
@@ -48,6 +52,21 @@
         assertEquals(503, ask(address, "/later", 0, 60).status());
     }
 
+    /** Machines that are gone must not use up the connections that a node may have. */
+    @Test
+    void idleConnectionsAreClosed() {
+        HttpClient hasty = new HttpClient(loop, loop.group(), 1, 0.001);
+        assertEquals(200, ask(hasty, address, "/x", 0, 60).status());
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        loop.every(0.01, () -> {
+            if (hasty.connections() == 0) {
+                closed.complete(null);
+            }
+        });
+        closed.join();
+        assertEquals(200, ask(hasty, address, "/x", 0, 60).status());
+    }
+
     /** To users 413 would mean: try again. */
     @Test
     void anOverlongBodyIsMalformed() {
