Clean-up: a dead parameter, one way to say all of a machine, a call without effect

FleetPlan.orders was always given no coming machines since the forecast counts them; the room of a whole machine was written out three times; an access-ordered map needs no second touch. No behaviour changes; 175 tests pass.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -811,7 +811,7 @@
         if (type == null || !m.usable(loop.now())) {
             return null;
         }
-        Room room = m.capacity(type);
+        Room room = Room.of(type);
         for (Attempt a : m.attempts.values()) {
             room.take(a.job);
         }
@@ -828,7 +828,7 @@
                 continue;
             }
             Kind kind = m.kind();
-            Room room = m.capacity(type);
+            Room room = Room.of(type);
             if (m.up) {
                 Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
                 for (Attempt a : m.attempts.values()) {
@@ -881,7 +881,7 @@
             if (type == null || !m.usable(now)) {
                 continue;
             }
-            Host host = new Host(m.id, m.kind(), m.capacity(type), m.barred(), m.images());
+            Host host = new Host(m.id, m.kind(), Room.of(type), m.barred(), m.images());
             for (Attempt a : m.attempts.values()) {
                 host.add(new Slot(a.task, a.job, a.stopping, lostS(a, now)));
             }
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -8,8 +8,6 @@
 import java.util.Set;
 import org.saffronshore.config.Settings.Address;
 import org.saffronshore.fleet.Kind;
-import org.saffronshore.scheduling.Room;
-import org.saffronshore.wire.MachineType;
 import org.saffronshore.wire.TaskId;
 
 /** A rented machine as the leader knows it. */
@@ -155,10 +153,6 @@
         return false;
     }
 
-    Room capacity(MachineType machineType) {
-        return new Room(machineType.cpus(), machineType.gpus(), machineType.memoryGb());
-    }
-
     /** Tasks that may not be put here, since a trace of them is still on the machine. */
     Set<TaskId> barred() {
         Set<TaskId> barred = new HashSet<>(exited.keySet());
@@ -176,7 +170,6 @@
 
     void usesImage(String image, double gb, double cacheGb) {
         images.put(image, gb);
-        images.get(image);
         double sum = 0;
         for (double size : images.values()) {
             sum += size;
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -207,12 +207,11 @@
             perZone.merge(o.kind.zone(), o.count, Integer::sum);
             MachineType type = cluster.types().get(o.kind.type());
             for (int i = 0; i < o.count && type != null; i++) {
-                lines.add(new Forecast.Line(o.kind, new Room(type.cpus(), type.gpus(), type.memoryGb()),
-                        o.askedAt + type.bootS()));
+                lines.add(new Forecast.Line(o.kind, Room.of(type), o.askedAt + type.bootS()));
             }
         }
         List<Plan.Unmet> late = Forecast.late(lines, unmet, cluster::lastsS, job -> now + boot(job));
-        FleetPlan.orders(cluster.types(), late, List.of(), perZone, kind -> available(kind, now))
+        FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
                 .forEach((kind, count) -> order(kind, Math.min(count, CloudClient.MOST_RENTED)));
     }
 
--- a/src/main/java/org/saffronshore/fleet/FleetPlan.java
+++ b/src/main/java/org/saffronshore/fleet/FleetPlan.java
@@ -1,7 +1,6 @@
 package org.saffronshore.fleet;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -16,14 +15,14 @@
 /** Works out what to rent for the tasks that found no place. A pure function. */
 public final class FleetPlan {
 
-    /** A machine that is on its way, or one that the plan adds. */
+    /** A machine that the plan adds. */
     private static final class Bin {
         final Kind kind;
         final Room room;
 
         Bin(Kind kind, MachineType type) {
             this.kind = kind;
-            this.room = new Room(type.cpus(), type.gpus(), type.memoryGb());
+            this.room = Room.of(type);
         }
 
         boolean takes(JobSpec job) {
@@ -44,19 +43,11 @@
     }
 
     /**
-     * @param coming kinds of the machines that are booting and expected soon
      * @param perZone how many machines each zone has, so that new ones go where there are fewest
      * @param available whether the cloud is thought to have machines of a kind
      */
-    public static Map<Kind, Integer> orders(Map<String, MachineType> types, List<Plan.Unmet> unmet,
-            Collection<Kind> coming, Map<String, Integer> perZone, Predicate<Kind> available) {
+    public static Map<Kind, Integer> orders(Map<String, MachineType> types, List<Plan.Unmet> unmet, Map<String, Integer> perZone, Predicate<Kind> available) {
         FleetPlan plan = new FleetPlan(types, available, perZone);
-        for (Kind kind : coming) {
-            MachineType type = types.get(kind.type());
-            if (type != null) {
-                plan.bins.add(new Bin(kind, type));
-            }
-        }
         List<JobSpec> tasks = new ArrayList<>();
         for (Plan.Unmet u : unmet) {
             for (int i = 0; i < u.tasks(); i++) {
--- a/src/main/java/org/saffronshore/scheduling/Room.java
+++ b/src/main/java/org/saffronshore/scheduling/Room.java
@@ -1,6 +1,7 @@
 package org.saffronshore.scheduling;
 
 import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.MachineType;
 
 /** An amount of each resource; mutable scratch space of the cycle and of the fleet's plan. */
 public final class Room {
@@ -15,6 +16,11 @@
         this.memoryGb = memoryGb;
     }
 
+    /** All that a machine of a type has. */
+    public static Room of(MachineType type) {
+        return new Room(type.cpus(), type.gpus(), type.memoryGb());
+    }
+
     public Room copy() {
         return new Room(cpus, gpus, memoryGb);
     }
--- a/src/test/java/org/saffronshore/fleet/FleetTest.java
+++ b/src/test/java/org/saffronshore/fleet/FleetTest.java
@@ -34,7 +34,7 @@
         "1 | 4 | true  |   | spot small in a | 1 spot small in b",
         "1 | 8 | true  |   | spot large in a | 1 ordinary large in a", "1 | 17 | true |  |  | nothing"})
     void rentsTheCheapest(int tasks, double cpus, boolean spot, String zone, String lacking, String expected) {
-        var orders = FleetPlan.orders(TYPES, List.of(new Plan.Unmet(job(cpus, spot, zone), tasks)), List.of(), Map.of(),
+        var orders = FleetPlan.orders(TYPES, List.of(new Plan.Unmet(job(cpus, spot, zone), tasks)), Map.of(),
                 kind -> !kind.toString().equals(lacking));
         String text = orders.entrySet().stream().map(e -> e.getValue() + " " + e.getKey())
                 .collect(Collectors.joining(", "));
@@ -43,7 +43,7 @@
 
     @Test
     void spreadsOverZones() {
-        var orders = FleetPlan.orders(TYPES, List.of(new Plan.Unmet(job(3, true, null), 4)), List.of(), Map.of("a", 9),
+        var orders = FleetPlan.orders(TYPES, List.of(new Plan.Unmet(job(3, true, null), 4)), Map.of("a", 9),
                 kind -> kind.type().equals("small"));
         assertEquals(Map.of(new Kind("small", "b", true), 4), orders);
     }
