--- /dev/null
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -0,0 +1,794 @@
+package org.saffronshore.cluster;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.config.Settings;
+import org.saffronshore.config.Settings.Address;
+import org.saffronshore.http.Loop;
+import org.saffronshore.scheduling.Host;
+import org.saffronshore.scheduling.Pending;
+import org.saffronshore.scheduling.Slot;
+import org.saffronshore.scheduling.Team;
+import org.saffronshore.scheduling.Tuning;
+import org.saffronshore.wire.Command;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.MachineType;
+import org.saffronshore.wire.Report;
+import org.saffronshore.wire.TaskId;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What one leader knows during its term: machines, and where every task is or may be. It is made anew from the
+ * state service and from reports in every term. A task counts as being on a machine until there is proof that it
+ * is not and cannot come to be there: a newer report, a newer session, a lease that must have run out, or the
+ * cloud's word that the machine is gone.
+ */
+public final class Cluster {
+    private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
+    /** Attempts of one term are numbered from the term, so that no two terms ever use a number twice. */
+    private static final int TERM_SHIFT = 24;
+    private static final int MOST_COMMANDS = 400;
+    /** A machine that fails this many tasks in a row is not trusted any more. */
+    public static final int STRIKES = 2;
+    /** A job that failed on this many machines in a row is itself at fault. */
+    private static final int BAD_JOB_MACHINES = 3;
+    private static final int REMEMBERED_GONE = 5_000;
+
+    private final Loop loop;
+    private final Settings settings;
+    private final long term;
+    /** Version of the leader's key: jobs accepted later cannot have been started by anyone else. */
+    private final long termVersion;
+    private final double startedAt;
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final Set<String> gone = new LinkedHashSet<>();
+    private Map<String, MachineType> types = Map.of();
+    /** Machines that may hold tasks of earlier terms and have not been heard in this one. */
+    private final Set<Machine> unsettled = new LinkedHashSet<>();
+    private long lastAttempt;
+    private boolean changed;
+    private final Set<Machine> toCall = new LinkedHashSet<>();
+    private final Set<Job> toSave = new LinkedHashSet<>();
+    private final Set<String> rosterLeft = new LinkedHashSet<>();
+
+    public Cluster(Loop loop, Settings settings, long term, long termVersion) {
+        this.loop = loop;
+        this.settings = settings;
+        this.term = term;
+        this.termVersion = termVersion;
+        this.startedAt = loop.now();
+    }
+
+    public long term() {
+        return term;
+    }
+
+    public double startedAt() {
+        return startedAt;
+    }
+
+    public Map<String, MachineType> types() {
+        return types;
+    }
+
+    public void types(Map<String, MachineType> newTypes) {
+        types = newTypes;
+        changed = true;
+    }
+
+    public Collection<Machine> machines() {
+        return machines.values();
+    }
+
+    public Machine machine(String id) {
+        return machines.get(id);
+    }
+
+    public Collection<Job> jobs() {
+        return jobs.values();
+    }
+
+    public Job job(String id) {
+        return jobs.get(id);
+    }
+
+    public boolean isGone(String machine) {
+        return gone.contains(machine);
+    }
+
+    public boolean isUnsettled(Machine m) {
+        return unsettled.contains(m);
+    }
+
+    public int unsettledCount() {
+        return unsettled.size();
+    }
+
+    /** Whether anything happened since the last call that may let a task be placed. */
+    public boolean takeChanged() {
+        boolean was = changed;
+        changed = false;
+        return was;
+    }
+
+    /** Machines that have commands waiting. */
+    public List<Machine> takeToCall() {
+        List<Machine> all = new ArrayList<>(toCall);
+        toCall.clear();
+        return all;
+    }
+
+    public Set<Job> toSave() {
+        return toSave;
+    }
+
+    // Jobs
+
+    public void addJob(JobSpec spec, long version, long submittedMs, BitSet done) {
+        if (jobs.containsKey(spec.id())) {
+            return;
+        }
+        Job job = new Job(spec, version, submittedMs, done);
+        jobs.put(spec.id(), job);
+        for (Machine m : machines.values()) {
+            for (Attempt a : m.allAttempts()) {
+                if (a.task.job().equals(spec.id()) && a.job == null) {
+                    throw new IllegalStateException("reports were taken before the jobs were read");
+                }
+            }
+        }
+        if (job.complete()) {
+            toSave.add(job);
+        }
+        changed = true;
+    }
+
+    /** The job is over: nothing of it may run any longer. */
+    public void removeJob(String id) {
+        Job job = jobs.remove(id);
+        if (job == null) {
+            return;
+        }
+        toSave.remove(job);
+        for (Attempt a : job.placed.values()) {
+            stop(a, 0, "its job is over");
+        }
+        changed = true;
+    }
+
+    /** Marks finished tasks as known to the state service; their attempts need not be kept any more. */
+    public void saved(Job job, BitSet tasks) {
+        job.saved.or(tasks);
+    }
+
+    // Machines
+
+    private Machine known(String id) {
+        return machines.computeIfAbsent(id, m -> new Machine(m, loop.now()));
+    }
+
+    /** A machine that an earlier leader gave tasks to, or may have. */
+    public void addRoster(String id) {
+        Machine m = known(id);
+        m.inRoster = true;
+        if (!m.settled) {
+            m.answeredAt = Math.max(m.answeredAt, startedAt);
+            unsettled.add(m);
+        }
+    }
+
+    public void rented(String id, String type, String zone, boolean spot, double requestedAt) {
+        if (gone.contains(id)) {
+            return;
+        }
+        Machine m = known(id);
+        m.type = type;
+        m.zone = zone;
+        m.spot = spot;
+        m.rentedAt = requestedAt;
+    }
+
+    /** One line of the cloud's list. */
+    public void listed(String id, String address, String type, String zone, boolean spot, boolean failed, double ageS) {
+        if (gone.contains(id)) {
+            return;
+        }
+        Machine m = machines.get(id);
+        if (m == null) {
+            m = known(id);
+            m.rentedAt = loop.now() - ageS;
+            LOG.info("machine {} ({} in {}, spot {}) is in the cloud's list, and was not known", id, type, zone, spot);
+        }
+        m.type = type;
+        m.zone = zone;
+        m.spot = spot;
+        setAddress(m, address);
+        if (failed && !m.failed) {
+            // A failed machine has stopped of its own accord: nothing on it runs, now or later.
+            LOG.info("machine {} has failed, says the cloud", id);
+            m.failed = true;
+            release(m);
+        }
+    }
+
+    /**
+     * Drops what a complete list of the cloud lacks. A list may be up to twice the usual delay old, and older than
+     * the one before it, so only machines that were known well before the request can be told to be gone.
+     */
+    public void listedOnly(Set<String> ids, double requestedAt) {
+        double before = requestedAt - Settings.stretched(2.25 * settings.listLagS() + settings.reportS());
+        for (Machine m : new ArrayList<>(machines.values())) {
+            if (!ids.contains(m.id) && m.knownSince < before) {
+                gone(m, "the cloud does not list it any more");
+            }
+        }
+    }
+
+    /** The machine does not exist any more, and nothing on it. */
+    public void gone(Machine m, String why) {
+        LOG.info("machine {} is gone: {}; it held {} tasks", m.id, why, m.attempts.size());
+        release(m);
+        machines.remove(m.id);
+        gone.add(m.id);
+        if (m.inRoster || m.rosterBusy) {
+            rosterLeft.add(m.id);
+        }
+        if (gone.size() > REMEMBERED_GONE) {
+            gone.remove(gone.iterator().next());
+        }
+    }
+
+    /** Machines in the roster that are gone for good: no later leader needs to account for them. */
+    public Set<String> rosterLeft() {
+        return rosterLeft;
+    }
+
+    /** Machines that are ready for tasks but for their place in the roster. */
+    public List<Machine> notInRoster(int most) {
+        List<Machine> all = new ArrayList<>();
+        for (Machine m : machines.values()) {
+            if (m.up && m.settled && !m.inRoster && all.size() < most) {
+                m.rosterBusy = true;
+                all.add(m);
+            }
+        }
+        return all;
+    }
+
+    public void inRoster(List<Machine> added) {
+        for (Machine m : added) {
+            m.inRoster = true;
+        }
+        changed = true;
+    }
+
+    private void release(Machine m) {
+        for (Attempt a : m.allAttempts()) {
+            over(a);
+        }
+        m.exited.clear();
+        m.idleSince = loop.now();
+        unsettled.remove(m);
+        changed = true;
+    }
+
+    /** The cloud has been asked to take the machine back: nothing new may start there. */
+    public void returning(Machine m) {
+        m.returning = true;
+        changed = true;
+    }
+
+    /** Ends every machine whose lease must have run out since the last answer that it can have had. */
+    public void expireLeases() {
+        double now = loop.now();
+        for (Machine m : machines.values()) {
+            boolean mayHold = m.up || unsettled.contains(m);
+            if (mayHold && now > m.answeredAt + Settings.stretched(settings.leaseS()) + settings.reportS() / 30) {
+                LOG.info("machine {} counts as lost: nothing heard, and its lease is over; it held {} tasks", m.id,
+                        m.attempts.size());
+                m.deadSession = Math.max(m.deadSession, m.session);
+                m.up = false;
+                release(m);
+            }
+        }
+    }
+
+    private static void setAddress(Machine m, String address) {
+        if (m.address == null && address != null) {
+            try {
+                m.address = Address.parse("Address", address);
+            } catch (InvalidField e) {
+                LOG.warn("machine {} has no usable address: {}", m.id, e.getMessage());
+            }
+        }
+    }
+
+    // Reports
+
+    /** Takes a report that the worker sent by itself, and that is going to be answered with 200. */
+    public Machine reported(Report r, boolean jobsRead) {
+        if (gone.contains(r.machine())) {
+            return null;
+        }
+        Machine m = known(r.machine());
+        m.answeredAt = loop.now();
+        m.type = r.type();
+        m.zone = r.zone();
+        m.spot = r.spot();
+        setAddress(m, r.address());
+        if (jobsRead) {
+            apply(m, r);
+        }
+        return m;
+    }
+
+    /** Takes the report in a worker's answer to a direct command, which renews no lease. */
+    public void answered(Machine m, Report r) {
+        if (machines.get(m.id) == m) {
+            apply(m, r);
+        }
+    }
+
+    private void apply(Machine m, Report r) {
+        if (r.session() <= m.deadSession || !r.newerThan(m.session, m.seq)) {
+            return;
+        }
+        double now = loop.now();
+        if (r.session() > m.session) {
+            if (m.session > 0 && !m.attempts.isEmpty()) {
+                LOG.info("machine {} began session {}: what it held is gone", m.id, r.session());
+            }
+            for (Attempt a : m.allAttempts()) {
+                over(a);
+            }
+            m.exited.clear();
+            m.session = r.session();
+        }
+        m.seq = r.seq();
+        m.heardAt = now;
+        if (!m.up) {
+            m.up = true;
+            m.upAt = Double.isNaN(m.upAt) ? now : m.upAt;
+            m.idleSince = now;
+            changed = true;
+            LOG.info("machine {} is up after {} s ({} in {}, spot {})", m.id, Math.round(now - m.rentedAt), m.type,
+                    m.zone, m.spot);
+        }
+        if (r.noticeS() != null) {
+            if (!m.noticed()) {
+                LOG.info("machine {} is to be taken back in {} s", m.id, r.noticeS());
+                changed = true;
+            }
+            m.noticeUntil = now + r.noticeS();
+        }
+        boolean settledNow = !m.settled && r.token() >= term;
+        Set<TaskId> seen = new HashSet<>();
+        for (Report.Task t : r.tasks()) {
+            seen.add(t.task());
+            apply(m, t);
+        }
+        for (Attempt a : m.allAttempts()) {
+            if (!seen.contains(a.task) && (a.state != Attempt.State.SENDING)) {
+                over(a);
+            }
+        }
+        m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
+        if (settledNow) {
+            m.settled = true;
+            unsettled.remove(m);
+            changed = true;
+        }
+        if (m.attempts.isEmpty() != Double.isFinite(m.idleSince)) {
+            m.idleSince = m.attempts.isEmpty() ? now : Double.POSITIVE_INFINITY;
+        }
+        if (needsCall(m)) {
+            toCall.add(m);
+        }
+    }
+
+    private void apply(Machine m, Report.Task t) {
+        Attempt a = m.attempts.get(t.task());
+        Job job = jobs.get(t.task().job());
+        boolean inRange = job != null && t.task().index() < job.spec.tasks();
+        if (a == null || a.number != t.attempt()) {
+            Attempt old = m.exited.get(t.task());
+            if (old != null && old.number == t.attempt() && t.state() == Report.State.EXITED) {
+                return;
+            }
+            a = new Attempt(t.task(), t.attempt(), m, inRange ? job.spec : null, loop.now());
+            if (t.state() == Report.State.EXITED) {
+                exited(a, t.why(), inRange ? job : null);
+                return;
+            }
+            adopt(a, inRange ? job : null);
+        }
+        switch (t.state()) {
+            case FETCHING -> a.state = Attempt.State.FETCHING;
+            case RUNNING -> {
+                if (a.state != Attempt.State.RUNNING) {
+                    a.state = Attempt.State.RUNNING;
+                    a.runningSince = loop.now();
+                    useImage(m, a);
+                }
+            }
+            case SAVING -> a.state = Attempt.State.SAVING;
+            default -> exited(a, t.why(), inRange ? job : null);
+        }
+    }
+
+    private void useImage(Machine m, Attempt a) {
+        MachineType type = types.get(m.type);
+        if (a.job != null && type != null) {
+            m.usesImage(a.job.image(), a.job.imageGb(), type.cacheGb());
+        }
+    }
+
+    /** A task is on a machine without this leader having put it there: it was left by an earlier one. */
+    private void adopt(Attempt a, Job job) {
+        Attempt other = a.machine.attempts.put(a.task, a);
+        if (other != null && job != null && job.placed.get(a.task.index()) == other) {
+            job.placed.remove(a.task.index());
+        }
+        a.sent = true;
+        int index = a.task.index();
+        if (job == null) {
+            stop(a, 0, "its job is over");
+        } else if (job.done.get(index)) {
+            stop(a, 0, "it is done already");
+        } else if (job.placed.containsKey(index)) {
+            LOG.warn("task {} is on {} and also on {}: stopped here", a.task, a.machine.id,
+                    job.placed.get(index).machine.id);
+            stop(a, 0, "it is elsewhere");
+        } else {
+            job.placed.put(index, a);
+            job.waiting.clear(index);
+        }
+    }
+
+    private void exited(Attempt a, Report.Why why, Job job) {
+        Machine m = a.machine;
+        boolean wasStopping = a.stopping;
+        boolean mine = m.attempts.get(a.task) == a;
+        a.state = Attempt.State.EXITED;
+        m.exited.put(a.task, a);
+        changed = true;
+        if (job != null && why == Report.Why.DONE) {
+            a.done = true;
+            if (!job.done.get(a.task.index())) {
+                job.done.set(a.task.index());
+                job.waiting.clear(a.task.index());
+                toSave.add(job);
+                Attempt other = job.placed.get(a.task.index());
+                if (other != null && other != a) {
+                    stop(other, 0, "it is done already");
+                }
+            }
+            job.failedOn.clear();
+            job.backOffs = 0;
+            m.strikes = 0;
+        }
+        over(a);
+        if (mine && why == Report.Why.ERROR && !wasStopping && job != null) {
+            failure(m, job, a);
+        } else if (mine && (why == Report.Why.NO_ROOM || why == Report.Why.BUSY || why == Report.Why.UNKNOWN)) {
+            LOG.info("machine {} refused task {}: {}", m.id, a.task, why);
+            m.suspendedUntil = loop.now() + settings.reportS();
+        }
+    }
+
+    /** Tells a bad machine, which fails whatever it is given, from a bad job, which fails wherever it runs. */
+    private void failure(Machine m, Job job, Attempt a) {
+        job.failedOn.add(m.id);
+        if (job.failedOn.size() >= BAD_JOB_MACHINES) {
+            job.backOffs = Math.min(job.backOffs + 1, 6);
+            job.backOffUntil = loop.now() + settings.reportS() * (1 << job.backOffs);
+            LOG.info("job {} failed on {} machines: backing off", job.spec.id(), job.failedOn.size());
+            return;
+        }
+        m.strikes++;
+        m.suspendedUntil = loop.now() + settings.reportS() * 2 * m.strikes;
+        LOG.info("task {} failed on {}; failures there in a row: {}", a.task, m.id, m.strikes);
+    }
+
+    /** Nothing of the attempt runs or can come to run: the task may be placed again unless it is done. */
+    private void over(Attempt a) {
+        Machine m = a.machine;
+        m.attempts.remove(a.task, a);
+        if (m.attempts.isEmpty() && !Double.isFinite(m.idleSince)) {
+            m.idleSince = loop.now();
+        }
+        changed = true;
+        Job job = jobs.get(a.task.job());
+        if (job != null && job.placed.get(a.task.index()) == a) {
+            job.placed.remove(a.task.index());
+            if (!job.done.get(a.task.index())) {
+                job.waiting.set(a.task.index());
+            }
+        }
+    }
+
+    // Orders
+
+    public void place(TaskId task, String machineId) {
+        Machine m = machines.get(machineId);
+        Job job = jobs.get(task.job());
+        if (m == null || job == null || !job.waiting.get(task.index()) || !m.usable(loop.now())) {
+            return;
+        }
+        Attempt a = new Attempt(task, (term << TERM_SHIFT) + ++lastAttempt, m, job.spec, loop.now());
+        job.waiting.clear(task.index());
+        job.placed.put(task.index(), a);
+        m.attempts.put(task, a);
+        m.idleSince = Double.POSITIVE_INFINITY;
+        useImage(m, a);
+        toCall.add(m);
+    }
+
+    public void stop(TaskId task, String machineId, String why) {
+        Machine m = machines.get(machineId);
+        Attempt a = m == null ? null : m.attempts.get(task);
+        if (a != null) {
+            double grace = a.job != null && a.job.saves() ? a.job.saveS() + settings.reportS() : 0;
+            stop(a, grace, why);
+        }
+    }
+
+    private void stop(Attempt a, double graceS, String why) {
+        if (!a.stopping) {
+            LOG.info("stopping task {} on {}: {}", a.task, a.machine.id, why);
+        } else if (graceS >= a.graceS) {
+            return;
+        }
+        a.stopping = true;
+        a.graceS = graceS;
+        a.stopSentAt = Double.NEGATIVE_INFINITY;
+        if (a.state == Attempt.State.SENDING && !a.sent) {
+            over(a);
+        } else {
+            toCall.add(a.machine);
+        }
+    }
+
+    /** Lets the tasks on a machine save before the cloud takes it away. */
+    public void drain(Machine m) {
+        for (Attempt a : m.allAttempts()) {
+            if (!a.stopping && a.job != null && a.state != Attempt.State.SENDING) {
+                stop(a.task, m.id, "the machine is to be taken back");
+            }
+        }
+    }
+
+    private boolean needsCall(Machine m) {
+        if (!m.settled) {
+            return true;
+        }
+        for (Attempt a : m.attempts.values()) {
+            if (a.state == Attempt.State.SENDING && a.inFlight == 0 || dueStop(a)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean dueStop(Attempt a) {
+        return a.stopping && loop.now() >= a.stopSentAt + settings.reportS() * 2 / 3;
+    }
+
+    /** A direct call that is ready to go, with the launches in it. */
+    public record Call(Machine machine, long session, List<Command> commands, List<Attempt> launches) {}
+
+    /** What to send to a machine now, or null. */
+    public Call call(Machine m) {
+        double now = loop.now();
+        if (machines.get(m.id) != m || m.calling || !m.up || m.address == null || now < m.callAfter || !needsCall(m)) {
+            return null;
+        }
+        List<Command> commands = new ArrayList<>();
+        List<Attempt> launches = new ArrayList<>();
+        if (m.settled) {
+            commands(m, commands, launches, true);
+        }
+        for (Attempt a : launches) {
+            a.sent = true;
+            a.inFlight++;
+        }
+        m.calling = true;
+        return new Call(m, m.session, commands, launches);
+    }
+
+    /** What became of a call: 200, 409, not sent, or anything else, which may yet be carried out. */
+    public void called(Call call, boolean executed, boolean surelyNot, Report report) {
+        Machine m = call.machine;
+        m.calling = false;
+        for (Attempt a : call.launches) {
+            a.inFlight--;
+            if (!executed && !surelyNot) {
+                a.loose = true;
+            }
+            if (surelyNot && a.state == Attempt.State.SENDING && !a.launchMayArrive()) {
+                a.sent = false;
+                if (a.stopping && m.attempts.get(a.task) == a) {
+                    over(a);
+                }
+            }
+        }
+        if (report != null) {
+            answered(m, report);
+        }
+        if (executed || surelyNot && report != null) {
+            m.failedCalls = 0;
+        } else {
+            m.failedCalls = Math.min(m.failedCalls + 1, 5);
+            m.callAfter = loop.now() + settings.reportS() / 6 * m.failedCalls;
+        }
+        for (Attempt a : call.launches) {
+            // Executed, or refused, and yet the worker does not show it: it is not there.
+            if (report != null && a.state == Attempt.State.SENDING && !a.launchMayArrive()
+                    && m.attempts.get(a.task) == a) {
+                over(a);
+            }
+        }
+        if (machines.get(m.id) == m && needsCall(m)) {
+            toCall.add(m);
+        }
+    }
+
+    /** Machines whose calls failed and may be tried again. */
+    public void retryCalls() {
+        for (Machine m : machines.values()) {
+            if (m.up && !m.calling && needsCall(m)) {
+                toCall.add(m);
+            }
+        }
+    }
+
+    /** Commands for the answer to a report: stops, what may be forgotten, and launches whose delivery is in doubt. */
+    public List<Command> responseCommands(Machine m) {
+        List<Command> commands = new ArrayList<>();
+        if (m.settled) {
+            commands(m, commands, new ArrayList<>(), false);
+        }
+        return commands;
+    }
+
+    private void commands(Machine m, List<Command> commands, List<Attempt> launches, boolean direct) {
+        for (Attempt a : m.attempts.values()) {
+            if (commands.size() >= MOST_COMMANDS) {
+                return;
+            }
+            boolean sending = a.state == Attempt.State.SENDING;
+            if (sending && (direct ? a.inFlight == 0 : a.loose)) {
+                // A launch that is in doubt is repeated until the worker shows it, also when it is not wanted any
+                // more: a worker that knows the attempt is over will not start it when the lost copy arrives.
+                commands.add(Command.start(a.task, a.number));
+                launches.add(a);
+                if (a.stopping) {
+                    commands.add(Command.stop(a.task, a.number, 0));
+                }
+            } else if (!sending && dueStop(a)) {
+                commands.add(Command.stop(a.task, a.number, a.graceS));
+                a.stopSentAt = loop.now();
+            }
+        }
+        for (Attempt a : m.exited.values()) {
+            if (commands.size() >= MOST_COMMANDS) {
+                return;
+            }
+            Job job = jobs.get(a.task.job());
+            if (!a.launchMayArrive() && (!a.done || job == null || job.saved.get(a.task.index()))) {
+                commands.add(Command.forget(a.task, a.number));
+            }
+        }
+    }
+
+    // Views for the cycle
+
+    /** Machines of earlier terms that are not accounted for may still hold any task that is older than this term. */
+    public boolean mayBeUnseen(Job job) {
+        return !unsettled.isEmpty() && job.version < termVersion;
+    }
+
+    public List<Host> hosts() {
+        double now = loop.now();
+        List<Host> hosts = new ArrayList<>();
+        for (Machine m : machines.values()) {
+            MachineType type = types.get(m.type);
+            if (type == null || !m.usable(now)) {
+                continue;
+            }
+            Host host = new Host(m.id, m.type, m.zone, m.spot, m.capacity(type), m.barred(), m.images());
+            for (Attempt a : m.attempts.values()) {
+                host.add(new Slot(a.task, a.job, a.stopping, lostS(a, now)));
+            }
+            hosts.add(host);
+        }
+        return hosts;
+    }
+
+    private static double lostS(Attempt a, double now) {
+        if (Double.isNaN(a.runningSince)) {
+            return 0;
+        }
+        return a.job.saves() ? a.job.saveS() : now - a.runningSince;
+    }
+
+    public List<Pending> pending() {
+        double now = loop.now();
+        List<Pending> all = new ArrayList<>();
+        for (Job job : jobs.values()) {
+            if (job.waiting.isEmpty() || now < job.backOffUntil || mayBeUnseen(job)) {
+                continue;
+            }
+            List<Integer> tasks = new ArrayList<>();
+            for (int i = job.waiting.nextSetBit(0); i >= 0; i = job.waiting.nextSetBit(i + 1)) {
+                tasks.add(i);
+            }
+            Map<String, Integer> perZone = new HashMap<>();
+            for (Attempt a : job.placed.values()) {
+                perZone.merge(a.machine.zone, 1, Integer::sum);
+            }
+            all.add(new Pending(job.spec, job.version, tasks, perZone));
+        }
+        return all;
+    }
+
+    /** Teams with what their tasks use or may be using; {@code weights} are the operators' own. */
+    public Map<String, Team> teams(Tuning tuning, Map<String, Double> weights) {
+        Map<String, Team> teams = new HashMap<>();
+        for (Settings.Team t : settings.teams().values()) {
+            double guarantee = t.cpus() + t.gpus();
+            teams.put(t.name(), new Team(t, weights.getOrDefault(t.name(), guarantee > 0 ? guarantee : 1.0)));
+        }
+        for (Machine m : machines.values()) {
+            for (Attempt a : m.attempts.values()) {
+                Team team = a.job == null ? null : teams.get(a.job.team());
+                if (team != null) {
+                    team.use(a.job, tuning, 1);
+                }
+            }
+        }
+        if (!unsettled.isEmpty()) {
+            countUnseen(teams);
+        }
+        return teams;
+    }
+
+    /** What machines that are not accounted for can hold, as far as the open jobs of earlier terms could fill them. */
+    private void countUnseen(Map<String, Team> teams) {
+        double cpus = 0;
+        double gpus = 0;
+        for (Machine m : unsettled) {
+            MachineType type = types.get(m.type);
+            for (MachineType t : type != null ? List.of(type) : List.copyOf(types.values())) {
+                cpus += t.cpus();
+                gpus += t.gpus();
+            }
+        }
+        Map<String, double[]> unseen = new HashMap<>();
+        for (Job job : jobs.values()) {
+            if (mayBeUnseen(job)) {
+                double[] sum = unseen.computeIfAbsent(job.spec.team(), t -> new double[2]);
+                int waiting = job.waiting.cardinality();
+                sum[0] += waiting * job.spec.cpus();
+                sum[1] += waiting * job.spec.gpus();
+            }
+        }
+        for (var e : unseen.entrySet()) {
+            Team team = teams.get(e.getKey());
+            if (team != null) {
+                team.maybe(Math.min(cpus, e.getValue()[0]), Math.min(gpus, e.getValue()[1]));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -0,0 +1,175 @@
+package org.saffronshore.cluster;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.config.Settings.Address;
+import org.saffronshore.scheduling.Room;
+import org.saffronshore.wire.MachineType;
+import org.saffronshore.wire.TaskId;
+
+/** A rented machine as the leader knows it. */
+public final class Machine {
+    final String id;
+    String type;
+    String zone;
+    boolean spot;
+    Address address;
+    /** Whether its worker has reported to this leader. */
+    boolean up;
+    /** Whether its worker has shown that it knows this leader's token, which shuts earlier leaders out. */
+    boolean settled;
+    long session;
+    long seq = -1;
+    /** Sessions up to this one are over: what they still say is ignored. */
+    long deadSession = -1;
+    /** The last moment at which the worker may have been told that its lease is renewed. */
+    double answeredAt;
+    double heardAt = Double.NEGATIVE_INFINITY;
+    /** When the machine was first known to exist. */
+    double knownSince;
+    double rentedAt;
+    double upAt = Double.NaN;
+    double idleSince;
+    double noticeUntil = Double.NaN;
+    boolean failed;
+    boolean returning;
+    boolean inRoster;
+    boolean rosterBusy;
+    int strikes;
+    double suspendedUntil = Double.NEGATIVE_INFINITY;
+    boolean calling;
+    int failedCalls;
+    double callAfter = Double.NEGATIVE_INFINITY;
+    final Map<TaskId, Attempt> attempts = new LinkedHashMap<>();
+    /** Attempts that are over but still in the worker's reports. */
+    final Map<TaskId, Attempt> exited = new LinkedHashMap<>();
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+
+    Machine(String id, double now) {
+        this.id = id;
+        this.knownSince = now;
+        this.rentedAt = now;
+        this.idleSince = now;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public String type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    public Address address() {
+        return address;
+    }
+
+    public boolean up() {
+        return up;
+    }
+
+    public boolean settled() {
+        return settled;
+    }
+
+    public boolean returning() {
+        return returning;
+    }
+
+    public boolean failed() {
+        return failed;
+    }
+
+    /** Whether it failed too many tasks in a row to be given more. */
+    public boolean distrusted() {
+        return strikes >= Cluster.STRIKES;
+    }
+
+    public boolean everUp() {
+        return !Double.isNaN(upAt);
+    }
+
+    public double rentedAt() {
+        return rentedAt;
+    }
+
+    public double idleSince() {
+        return idleSince;
+    }
+
+    public boolean noticed() {
+        return !Double.isNaN(noticeUntil);
+    }
+
+    public Iterable<Attempt> attempts() {
+        return attempts.values();
+    }
+
+    public boolean empty() {
+        return attempts.isEmpty();
+    }
+
+    /** Whether new tasks may be put here. */
+    public boolean usable(double now) {
+        return up && settled && inRoster && !returning && !failed && !noticed() && !distrusted() && now >= suspendedUntil
+                && !unknownLoad();
+    }
+
+    private boolean unknownLoad() {
+        for (Attempt a : attempts.values()) {
+            if (a.job == null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    Room capacity(MachineType machineType) {
+        return new Room(machineType.cpus(), machineType.gpus(), machineType.memoryGb());
+    }
+
+    /** Tasks that may not be put here, since a trace of them is still on the machine. */
+    Set<TaskId> barred() {
+        Set<TaskId> barred = new HashSet<>(exited.keySet());
+        barred.addAll(attempts.keySet());
+        return barred;
+    }
+
+    Set<String> images() {
+        return images.keySet();
+    }
+
+    void usesImage(String image, double gb, double cacheGb) {
+        images.put(image, gb);
+        images.get(image);
+        double sum = 0;
+        for (double size : images.values()) {
+            sum += size;
+        }
+        var oldest = images.entrySet().iterator();
+        while (sum > cacheGb && oldest.hasNext()) {
+            var entry = oldest.next();
+            if (!entry.getKey().equals(image)) {
+                sum -= entry.getValue();
+                oldest.remove();
+            }
+        }
+    }
+
+    List<Attempt> allAttempts() {
+        return new ArrayList<>(attempts.values());
+    }
+
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -0,0 +1,280 @@
+package org.saffronshore.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.admin.Metrics;
+import org.saffronshore.cloud.CloudClient;
+import org.saffronshore.cluster.Cluster;
+import org.saffronshore.cluster.Machine;
+import org.saffronshore.config.Settings;
+import org.saffronshore.fleet.FleetPlan;
+import org.saffronshore.fleet.Kind;
+import org.saffronshore.http.Answer;
+import org.saffronshore.http.Loop;
+import org.saffronshore.scheduling.Plan;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.MachineType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps the rented machines in line with what the tasks need, for one term. */
+final class FleetKeeper {
+    private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
+    /** A machine costs this much even when it is returned sooner. */
+    private static final double LEAST_CHARGED_S = 60;
+    /** Boots later than this, as a multiple of the usual time, are not counted on, and later than that given up. */
+    private static final double LATE_BOOT = 1.6;
+    private static final double LOST_BOOT = 3;
+    /** An idle machine is kept for this share of the time that a new one takes to boot. */
+    private static final double IDLE_KEPT = 1;
+
+    private record Order(String name, Kind kind, int count, double askedAt) {}
+
+    private static final class Refusal {
+        double until;
+        double pause;
+    }
+
+    private final Loop loop;
+    private final Settings settings;
+    private final CloudClient cloud;
+    private final Metrics metrics;
+    private final Leader leader;
+    private final Cluster cluster;
+    private final long term;
+    private final Map<String, Order> orders = new LinkedHashMap<>();
+    private final Map<Kind, Refusal> refusals = new HashMap<>();
+    private final Set<String> returning = new HashSet<>();
+    private List<Plan.Unmet> unmet = List.of();
+    private boolean listBusy;
+    private boolean listed;
+    private long lastName;
+
+    FleetKeeper(Node node, Leader leader, Cluster cluster, long term) {
+        this.loop = node.loop();
+        this.settings = node.settings();
+        this.cloud = node.cloud();
+        this.metrics = node.metrics();
+        this.leader = leader;
+        this.cluster = cluster;
+        this.term = term;
+    }
+
+    void start() {
+        list();
+        leader.repeat(Math.max(settings.reportS(), 2 / settings.cloudRps()), this::list);
+        leader.repeat(settings.reportS() / 3, this::keep);
+    }
+
+    /** What the last cycle found no place for. */
+    void wanted(List<Plan.Unmet> nowUnmet) {
+        unmet = nowUnmet;
+        rent();
+    }
+
+    private void keep() {
+        if (!leader.loaded()) {
+            return;
+        }
+        for (Machine m : cluster.machines()) {
+            if (m.noticed() && !m.failed()) {
+                cluster.drain(m);
+            }
+        }
+        giveBack();
+        rent();
+    }
+
+    // The cloud's list
+
+    private void list() {
+        if (!listBusy) {
+            listBusy = true;
+            page("", new HashSet<>(), loop.now());
+        }
+    }
+
+    private void page(String after, Set<String> ids, double requestedAt) {
+        cloud.list(after, answer -> {
+            JsonNode body = answer.ok() ? answer.json() : null;
+            if (!leader.acting() || body == null || !body.path("Cadres").isArray()) {
+                listBusy = false;
+                return;
+            }
+            String last = after;
+            for (JsonNode c : body.get("Cadres")) {
+                last = Json.text(c, "Uid");
+                ids.add(last);
+                cluster.listed(last, Json.text(c, "Address"), Json.text(c, "Rig"), Json.text(c, "Depot"),
+                        Json.flag(c, "Loaner"), "failed".equals(Json.text(c, "Status")), Json.number(c, "HeldS", 0));
+            }
+            if (Json.flag(body, "Truncated") && !last.equals(after)) {
+                page(last, ids, requestedAt);
+                return;
+            }
+            listBusy = false;
+            listed = true;
+            cluster.listedOnly(ids, requestedAt);
+        });
+    }
+
+    // Renting
+
+    /** An earlier leader's latest machines are in no list yet: renting for the same need again would be waste. */
+    private boolean mayRent() {
+        return leader.acting() && leader.loaded() && listed
+                && (term == 1 || loop.now() > cluster.startedAt() + settings.listLagS());
+    }
+
+    private void rent() {
+        if (!mayRent() || unmet.isEmpty()) {
+            return;
+        }
+        double now = loop.now();
+        List<Kind> coming = new ArrayList<>();
+        Map<String, Integer> perZone = new HashMap<>();
+        for (Machine m : cluster.machines()) {
+            MachineType type = cluster.types().get(m.type());
+            if (type == null || m.failed() || m.returning()) {
+                continue;
+            }
+            perZone.merge(m.zone(), 1, Integer::sum);
+            if (!m.everUp() && now < m.rentedAt() + type.bootS() * LATE_BOOT || m.up() && !m.settled()) {
+                coming.add(new Kind(m.type(), m.zone(), m.spot()));
+            }
+        }
+        for (Order o : orders.values()) {
+            perZone.merge(o.kind.zone(), o.count, Integer::sum);
+            for (int i = 0; i < o.count; i++) {
+                coming.add(o.kind);
+            }
+        }
+        FleetPlan.orders(cluster.types(), unmet, coming, perZone, kind -> available(kind, now))
+                .forEach((kind, count) -> order(kind, Math.min(count, CloudClient.MOST_RENTED)));
+    }
+
+    private boolean available(Kind kind, double now) {
+        Refusal r = refusals.get(kind);
+        return r == null || now >= r.until;
+    }
+
+    private void order(Kind kind, int count) {
+        Order order = new Order("r-" + term + "-" + ++lastName, kind, count, loop.now());
+        orders.put(order.name, order);
+        ask(order);
+    }
+
+    private void ask(Order order) {
+        cloud.rent(order.name, order.kind, order.count, answer -> {
+            JsonNode body = answer.json();
+            if (answer.ok() && body != null) {
+                orders.remove(order.name);
+                rented(order, body.path("Cadres"));
+            } else if (answer.status() == 503 && body != null && "no capacity".equals(Json.text(body, "error"))) {
+                orders.remove(order.name);
+                LOG.info("the cloud has no {}", order.kind);
+                refused(order.kind);
+            } else if (answer.status() == 400) {
+                orders.remove(order.name);
+                LOG.error("the cloud calls the order of {} {} malformed", order.count, order.kind);
+                refused(order.kind);
+            } else if (leader.acting()) {
+                // It may have been carried out: only the same name again tells, and rents nothing twice.
+                loop.after(settings.reportS() / 3, () -> ask(order));
+            } else {
+                orders.remove(order.name);
+            }
+        });
+    }
+
+    private void rented(Order order, JsonNode names) {
+        LOG.info("rented {} of {} {}: tasks wait for room", names.size(), order.count, order.kind);
+        metrics.add(Metrics.Count.RENTED, names.size());
+        for (JsonNode name : names) {
+            cluster.rented(name.asText(), order.kind.type(), order.kind.zone(), order.kind.spot(), order.askedAt);
+        }
+        if (names.size() < order.count) {
+            refused(order.kind);
+        } else {
+            refusals.remove(order.kind);
+        }
+    }
+
+    private void refused(Kind kind) {
+        MachineType type = cluster.types().get(kind.type());
+        double boot = type == null ? settings.leaseS() : type.bootS();
+        Refusal r = refusals.computeIfAbsent(kind, k -> new Refusal());
+        r.pause = Math.min(boot, Math.max(boot / 8, r.pause * 2));
+        r.until = loop.now() + r.pause;
+    }
+
+    // Returning
+
+    private String reason(Machine m, double now) {
+        MachineType type = cluster.types().get(m.type());
+        double boot = type == null ? settings.leaseS() : type.bootS();
+        if (m.failed()) {
+            return "it has failed";
+        }
+        if (!m.everUp()) {
+            return now > m.rentedAt() + LOST_BOOT * boot && m.empty() && !cluster.isUnsettled(m)
+                    ? "it never came up" : null;
+        }
+        if (!m.up()) {
+            return "it is lost";
+        }
+        if (!m.empty() || !m.settled()) {
+            return null;
+        }
+        if (m.distrusted()) {
+            return "it fails its tasks";
+        }
+        if (m.noticed()) {
+            return "it is to be taken back, and is empty";
+        }
+        boolean idle = now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + LEAST_CHARGED_S;
+        return idle ? "it is idle" : null;
+    }
+
+    private void giveBack() {
+        double now = loop.now();
+        List<String> names = new ArrayList<>();
+        for (Machine m : cluster.machines()) {
+            String why = returning.contains(m.id()) ? null : reason(m, now);
+            if (why != null && names.size() < CloudClient.MOST_RETURNED) {
+                LOG.info("returning machine {}: {}", m.id(), why);
+                cluster.returning(m);
+                names.add(m.id());
+            }
+        }
+        if (!names.isEmpty()) {
+            returning.addAll(names);
+            returned(names);
+        }
+    }
+
+    private void returned(List<String> names) {
+        cloud.giveBack(names, answer -> {
+            if (answer.ok()) {
+                returning.removeAll(names);
+                metrics.add(Metrics.Count.RETURNED, names.size());
+                for (String name : names) {
+                    Machine m = cluster.machine(name);
+                    if (m != null) {
+                        cluster.gone(m, "returned");
+                    }
+                }
+            } else if (leader.acting() || answer.equals(Answer.LOST)) {
+                loop.after(settings.reportS() / 3, () -> returned(names));
+            } else {
+                returning.removeAll(names);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -0,0 +1,277 @@
+package org.saffronshore.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.IoEventLoopGroup;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.saffronshore.admin.AdminApi;
+import org.saffronshore.admin.Metrics;
+import org.saffronshore.cloud.CloudClient;
+import org.saffronshore.config.Settings;
+import org.saffronshore.http.Admission;
+import org.saffronshore.http.Client;
+import org.saffronshore.http.HttpServer;
+import org.saffronshore.http.Loop;
+import org.saffronshore.http.Reply;
+import org.saffronshore.http.Request;
+import org.saffronshore.leadership.Leadership;
+import org.saffronshore.state.JobStore;
+import org.saffronshore.state.Keys;
+import org.saffronshore.state.StateClient;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.MachineType;
+import org.saffronshore.wire.Report;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: everything it consists of, and the way of each request through it. */
+public final class Node implements Leadership.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final int MOST_QUEUED = 200;
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Client client;
+    private final RandomGenerator random;
+    private final Metrics metrics = new Metrics();
+    private final StateClient state;
+    private final JobStore store;
+    private final CloudClient cloud;
+    private final Leadership leadership;
+    private final PeerLink peers;
+    private final UserApi users;
+    private final AdminApi admin;
+    private final Admission admission;
+    private Map<String, MachineType> types = Map.of();
+    private Leader leader;
+
+    public Node(Loop loop, Settings settings, Client client, RandomGenerator random) {
+        this.loop = loop;
+        this.settings = settings;
+        this.client = client;
+        this.random = random;
+        this.state = new StateClient(loop, client, settings);
+        this.store = new JobStore(loop, state, settings);
+        this.cloud = new CloudClient(loop, client, settings);
+        this.leadership = new Leadership(loop, state, settings, random, this);
+        this.peers = new PeerLink(this);
+        this.users = new UserApi(loop, settings, store, metrics, () -> types, this::progress);
+        this.admin = new AdminApi(state, metrics, settings.teams().keySet(), this::status);
+        this.admission = new Admission(loop, MOST_QUEUED);
+        metrics.gauge("leading", () -> leadership.acting() ? 1 : 0);
+        metrics.gauge("term", leadership::term);
+        metrics.gauge("machines", () -> leader == null ? 0 : leader.cluster().machines().size());
+        metrics.gauge("open_jobs", () -> leader == null ? 0 : leader.cluster().jobs().size());
+    }
+
+    Loop loop() {
+        return loop;
+    }
+
+    Settings settings() {
+        return settings;
+    }
+
+    Client client() {
+        return client;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    Metrics metrics() {
+        return metrics;
+    }
+
+    StateClient state() {
+        return state;
+    }
+
+    JobStore store() {
+        return store;
+    }
+
+    CloudClient cloud() {
+        return cloud;
+    }
+
+    Leadership leadership() {
+        return leadership;
+    }
+
+    /** Starts everything but the servers; what is needed from outside is fetched in the background. */
+    public void start() {
+        leadership.start();
+        peers.start();
+        readTypes();
+        loop.every(settings.reportS() / 3, this::probeState);
+        watchLoop();
+    }
+
+    /** Opens both addresses. Users and workers share one, peers and operators the other. */
+    public void serve(IoEventLoopGroup group) throws InterruptedException {
+        new HttpServer(this::handle, Math.max(8, settings.sockets() * 3 / 5)).start(group, settings.listen());
+        new HttpServer(this::handlePeer, Math.max(8, settings.sockets() / 10)).start(group, settings.peerListen());
+    }
+
+    private void watchLoop() {
+        double due = loop.now() + settings.reportS() / 10;
+        loop.after(settings.reportS() / 10, () -> {
+            metrics.took(Metrics.Latency.LOOP, loop.now() - due);
+            watchLoop();
+        });
+    }
+
+    // Requests
+
+    public void handle(Request request, Reply reply) {
+        String path = request.path();
+        if (path.equals("/v1/report")) {
+            on("POST", request, reply, Admission.Rank.REPORT, () -> report(request, reply));
+        } else if (path.equals("/healthz")) {
+            health(request, reply);
+        } else if (path.equals("/work")) {
+            on("POST", request, reply, Admission.Rank.SUBMISSION, () -> users.submit(request, reply));
+        } else if (path.startsWith("/work/")) {
+            String rest = path.substring("/work/".length());
+            if (rest.endsWith("/cancel")) {
+                on("POST", request, reply, Admission.Rank.DECISION,
+                        () -> users.cancel(rest.substring(0, rest.length() - "/cancel".length()), reply));
+            } else if (rest.isEmpty() || rest.indexOf('/') >= 0) {
+                reply.error(404, "no such path");
+            } else {
+                on("GET", request, reply, Admission.Rank.DECISION, () -> users.look(rest, reply));
+            }
+        } else {
+            reply.error(404, "no such path");
+        }
+    }
+
+    private void on(String method, Request request, Reply reply, Admission.Rank rank, Runnable work) {
+        if (!request.is(method)) {
+            reply.error(405, method + " only");
+        } else if (!admission.offer(rank, work)) {
+            users.busy(reply);
+        }
+    }
+
+    private void handlePeer(Request request, Reply reply) {
+        if (!peers.handle(request, reply) && !admin.handle(request, reply)) {
+            reply.error(404, "no such path");
+        }
+    }
+
+    /**
+     * A node that alone is refused by the state service sends its users to the others. When nobody is served, all
+     * stay: to turn every user away at once, and to be let back in slowly, would only make an outage longer.
+     */
+    private void health(Request request, Reply reply) {
+        if (!request.is("GET")) {
+            reply.error(405, "GET only");
+        } else if (types.isEmpty() || !served() && peers.peerServed()) {
+            reply.later(503, "not ready", 1);
+        } else {
+            reply.json(200, Json.object().put("ok", true));
+        }
+    }
+
+    /** Whether the state service served this node a moment ago. */
+    boolean served() {
+        return loop.now() - state.answeredAt() < settings.reportS();
+    }
+
+    private void probeState() {
+        if (loop.now() - state.answeredAt() > settings.reportS() / 3) {
+            state.get(Keys.TERM, true, answer -> { });
+        }
+    }
+
+    private void readTypes() {
+        cloud.types(answer -> {
+            boolean read = false;
+            try {
+                if (answer.ok()) {
+                    types = MachineType.parseAll(answer.json());
+                    read = !types.isEmpty();
+                    if (leader != null) {
+                        leader.cluster().types(types);
+                    }
+                }
+            } catch (InvalidField e) {
+                LOG.error("the cloud's machine types cannot be read: {}", e.getMessage());
+            }
+            loop.after(read ? settings.leaseS() : settings.reportS() / 3, this::readTypes);
+        });
+    }
+
+    private void report(Request request, Reply reply) {
+        metrics.add(Metrics.Count.REPORTS, 1);
+        double began = loop.now();
+        Report report;
+        try {
+            JsonNode body = request.json();
+            if (body == null) {
+                throw new InvalidField("body", "is not JSON");
+            }
+            report = Report.parse(body);
+        } catch (InvalidField e) {
+            LOG.warn("a worker's report is malformed: {}", e.getMessage());
+            reply.error(400, e.getMessage());
+            return;
+        }
+        ObjectNode answer = leader == null ? null : leader.report(report);
+        if (answer != null) {
+            metrics.took(Metrics.Latency.REPORT, loop.now() - began);
+            reply.json(200, answer);
+            return;
+        }
+        metrics.add(Metrics.Count.REDIRECTED, 1);
+        ObjectNode redirect = Json.object();
+        String to = leadership.leaderNode();
+        if (to != null && !to.equals(settings.node())) {
+            redirect.put("Dispatcher", to);
+        }
+        reply.json(421, redirect);
+    }
+
+    // Leading
+
+    /** The leader's part of this node while it may act, or null. */
+    Leader actingLeader() {
+        return leader != null && leader.acting() ? leader : null;
+    }
+
+    private Progress progress(String job) {
+        Leader acting = actingLeader();
+        return acting != null ? acting.progress(job) : peers.progress(job);
+    }
+
+    @Override
+    public void elected(long term, long keyVersion) {
+        metrics.add(Metrics.Count.TERMS, 1);
+        leader = new Leader(this, term, keyVersion);
+        leader.cluster().types(types);
+        leader.start();
+    }
+
+    @Override
+    public void deposed(String why) {
+        if (leader != null) {
+            leader.end();
+            leader = null;
+        }
+    }
+
+    private ObjectNode status() {
+        ObjectNode o = Json.object().put("node", settings.node()).put("leading", leadership.acting())
+                .put("leader", leadership.leaderNode()).put("term", leadership.term()).put("state_serves", served());
+        if (leader != null) {
+            o.put("open_jobs", leader.cluster().jobs().size()).put("machines", leader.cluster().machines().size())
+                    .put("machines_unaccounted", leader.cluster().unsettledCount());
+        }
+        return o;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -0,0 +1,166 @@
+package org.saffronshore.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.saffronshore.admin.Metrics;
+import org.saffronshore.config.Settings;
+import org.saffronshore.http.Loop;
+import org.saffronshore.http.Reply;
+import org.saffronshore.http.Request;
+import org.saffronshore.state.JobStore;
+import org.saffronshore.state.JobStore.Status;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.MachineType;
+
+/** What users ask of a node: to submit, to look, to cancel. Every node answers by itself. */
+final class UserApi {
+    /** The soonest that the protocol lets a refused user come back. */
+    private static final int SOON_S = 1;
+
+    private final Loop loop;
+    private final Settings settings;
+    private final JobStore store;
+    private final Metrics metrics;
+    private final Supplier<Map<String, MachineType>> types;
+    private final Function<String, Progress> progress;
+
+    UserApi(Loop loop, Settings settings, JobStore store, Metrics metrics,
+            Supplier<Map<String, MachineType>> types, Function<String, Progress> progress) {
+        this.loop = loop;
+        this.settings = settings;
+        this.store = store;
+        this.metrics = metrics;
+        this.types = types;
+        this.progress = progress;
+    }
+
+    void submit(Request request, Reply reply) {
+        double began = loop.now();
+        JsonNode body = request.json();
+        JobSpec job = null;
+        String problem = null;
+        int verdict = 400;
+        try {
+            if (body == null) {
+                throw new InvalidField("body", "is not JSON");
+            }
+            job = JobSpec.parse(body);
+            if (types.get().isEmpty()) {
+                verdict = 503;
+                problem = "the machine types are not known yet";
+            } else {
+                problem = impossible(job);
+                verdict = 422;
+            }
+        } catch (InvalidField e) {
+            problem = e.getMessage();
+        }
+        if (problem != null) {
+            refuse(body == null ? null : Json.text(body, "Uid"), verdict, problem, reply);
+            return;
+        }
+        String id = job.id();
+        store.accept(job, System.currentTimeMillis(), accepted -> {
+            switch (accepted) {
+                case NEW -> {
+                    metrics.add(Metrics.Count.SUBMITTED, 1);
+                    metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
+                    reply.json(201, Json.object().put("Uid", id).put("Status", "pending"));
+                }
+                case KNOWN -> store.look(id, status -> {
+                    if (status == Status.ABSENT) {
+                        unsure(reply);
+                    } else {
+                        tell(id, status, reply);
+                    }
+                });
+                case OVERLOADED -> busy(reply);
+                default -> unsure(reply);
+            }
+        });
+    }
+
+    /** Why a job can never run, or null. */
+    private String impossible(JobSpec job) {
+        Settings.Team team = settings.teams().get(job.team());
+        if (team == null) {
+            return "Crew: there is no such team";
+        }
+        if (types.get().values().stream().noneMatch(t -> t.fits(job))) {
+            return "a task fits no machine type that the job allows";
+        }
+        if (team.cpusMax() > 0 && job.cpus() > team.cpusMax() || team.gpusMax() > 0 && job.gpus() > team.gpusMax()) {
+            return "a task is beyond the limit of its team";
+        }
+        return null;
+    }
+
+    /** A job that was accepted once stays accepted, whatever a later copy of its submission looks like. */
+    private void refuse(String id, int verdict, String problem, Reply reply) {
+        if (!JobSpec.isId(id)) {
+            reply.error(verdict, problem);
+            return;
+        }
+        store.look(id, status -> {
+            if (status == Status.ABSENT) {
+                if (verdict == 503) {
+                    reply.later(503, problem, SOON_S);
+                } else {
+                    reply.error(verdict, problem);
+                }
+            } else {
+                tell(id, status, reply);
+            }
+        });
+    }
+
+    void look(String id, Reply reply) {
+        double began = loop.now();
+        if (!JobSpec.isId(id)) {
+            reply.error(404, "no such job");
+            return;
+        }
+        store.look(id, status -> {
+            metrics.took(Metrics.Latency.POLL, loop.now() - began);
+            tell(id, status, reply);
+        });
+    }
+
+    void cancel(String id, Reply reply) {
+        if (!JobSpec.isId(id)) {
+            reply.error(404, "no such job");
+            return;
+        }
+        store.cancel(id, status -> tell(id, status, reply));
+    }
+
+    private void tell(String id, Status status, Reply reply) {
+        ObjectNode o = Json.object().put("Uid", id);
+        switch (status) {
+            case OPEN -> {
+                Progress p = progress.apply(id);
+                reply.json(200, o.put("Status", p.running() > 0 ? "running" : "pending").put("done", p.done())
+                        .put("running", p.running()));
+            }
+            case DONE -> reply.json(200, o.put("Status", "done"));
+            case CANCELLED -> reply.json(200, o.put("Status", "aborted"));
+            case ABSENT -> reply.error(404, "no such job");
+            default -> unsure(reply);
+        }
+    }
+
+    private void unsure(Reply reply) {
+        metrics.add(Metrics.Count.REFUSED, 1);
+        reply.later(503, "the state service does not answer", SOON_S);
+    }
+
+    void busy(Reply reply) {
+        metrics.add(Metrics.Count.REFUSED, 1);
+        reply.later(429, "too many requests", SOON_S);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/http/Request.java
@@ -0,0 +1,16 @@
+package org.saffronshore.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.saffronshore.wire.Json;
+
+/** A request as its handler sees it; {@code body} is null when it was longer than a body may be. */
+public record Request(String method, String path, byte[] body) {
+
+    public JsonNode json() {
+        return body == null ? null : Json.parse(body);
+    }
+
+    public boolean is(String wantedMethod) {
+        return method.equals(wantedMethod);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -0,0 +1,249 @@
+package org.saffronshore.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.random.RandomGenerator;
+import org.saffronshore.config.Settings;
+import org.saffronshore.http.Answer;
+import org.saffronshore.http.Loop;
+import org.saffronshore.state.Keys;
+import org.saffronshore.state.StateClient;
+import org.saffronshore.state.Txn;
+import org.saffronshore.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who leads. The leader holds a key that hangs on a permit of the state service; in the transaction that sets
+ * the key, the term is raised, and the term is the token that fences commands to workers. A leader acts only
+ * while its permit provably lives, counted from when it sent the last renewal that succeeded, on a clock that
+ * may run slow. So one leader's last act precedes the end of its key, which precedes the next leader's first act.
+ */
+public final class Leadership {
+
+    /** What happens on this node; called on the loop. */
+    public interface Listener {
+        /** This node leads from now on: the key has this version, and nobody led before its revision without ending. */
+        void elected(long term, long keyVersion);
+
+        void deposed(String why);
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+    /** A permit lives for this share of a worker's lease, so that a new leader is there before leases run out. */
+    private static final double LIFE_PER_LEASE = 1.0 / 5;
+    private static final double RENEWALS_PER_LIFE = 4;
+
+    private final Loop loop;
+    private final StateClient state;
+    private final Settings settings;
+    private final RandomGenerator random;
+    private final Listener listener;
+    private final double lifeS;
+    /** Tells this life of the process from earlier ones of the same node. */
+    private final String incarnation;
+
+    private boolean leading;
+    private boolean standing;
+    private long permit;
+    private long term;
+    private long keyVersion;
+    private double validUntil = Double.NEGATIVE_INFINITY;
+    private int renewal;
+    private String leaderNode;
+    private long watchFrom = -1;
+
+    public Leadership(Loop loop, StateClient state, Settings settings, RandomGenerator random, Listener listener) {
+        this.loop = loop;
+        this.state = state;
+        this.settings = settings;
+        this.random = random;
+        this.listener = listener;
+        this.lifeS = Math.max(0.1, settings.leaseS() * LIFE_PER_LEASE);
+        this.incarnation = Long.toHexString(random.nextLong());
+    }
+
+    public void start() {
+        readLeader();
+    }
+
+    /** Whether this node may act for the controllers at this moment. */
+    public boolean acting() {
+        return leading && loop.now() < validUntil;
+    }
+
+    public boolean leading() {
+        return leading;
+    }
+
+    public long term() {
+        return term;
+    }
+
+    public long keyVersion() {
+        return keyVersion;
+    }
+
+    /** The node that leads as far as is known here, or null. */
+    public String leaderNode() {
+        return leading ? (acting() ? settings.node() : null) : leaderNode;
+    }
+
+    private double pause() {
+        return lifeS / 10 * (0.5 + random.nextDouble());
+    }
+
+    private void readLeader() {
+        if (leading || standing) {
+            return;
+        }
+        state.get(Keys.LEADER, true, answer -> {
+            JsonNode body = answer.json();
+            if (answer.ok() && body != null) {
+                JsonNode value = body.path("Data");
+                leaderNode = Json.text(value, "Node");
+                if (settings.node().equals(leaderNode) && !incarnation.equals(Json.text(value, "Life"))) {
+                    // The key is of an earlier life of this very process, which is over: it need not be waited out.
+                    leaderNode = null;
+                    LOG.info("ending the permit {} of an earlier life of this node", Json.count(body, "Permit", 0));
+                    state.release(Json.count(body, "Permit", 0), released -> loop.after(pause() / 4, this::readLeader));
+                    return;
+                }
+                watchFrom = Json.count(body, "Stamp", 0);
+                watchLeader();
+            } else if (answer.status() == 404 && body != null) {
+                leaderNode = null;
+                stand();
+            } else {
+                leaderNode = null;
+                loop.after(pause(), this::readLeader);
+            }
+        });
+    }
+
+    private void watchLeader() {
+        state.watch(Keys.LEADER, watchFrom, lifeS, answer -> {
+            JsonNode body = answer.ok() ? answer.json() : null;
+            if (body == null || !body.path("Events").isArray()) {
+                // What is known may be old now. Saying nobody leads only sends workers to ask the next node.
+                leaderNode = answer.status() == 410 ? leaderNode : null;
+                loop.after(pause(), this::readLeader);
+            } else if (body.get("Events").isEmpty()) {
+                watchFrom = Json.count(body, "Ledger", watchFrom);
+                watchLeader();
+            } else {
+                leaderNode = null;
+                loop.after(random.nextDouble() * lifeS / 40, this::readLeader);
+            }
+        });
+    }
+
+    private void stand() {
+        standing = true;
+        double sentAt = loop.now();
+        state.grant(lifeS, granted -> {
+            JsonNode body = granted.ok() ? granted.json() : null;
+            if (body == null) {
+                lost(0);
+                return;
+            }
+            long mine = Json.count(body, "Permit", 0);
+            state.get(Keys.TERM, true, read -> {
+                JsonNode old = read.json();
+                if (!read.ok() && read.status() != 404 || old == null) {
+                    lost(mine);
+                    return;
+                }
+                claim(mine, sentAt, read.ok() ? Json.count(old.path("Data"), "Term", 0) : 0,
+                        read.ok() ? Json.count(old, "Stamp", 0) : 0);
+            });
+        });
+    }
+
+    private void claim(long mine, double sentAt, long lastTerm, long termVersion) {
+        long next = lastTerm + 1;
+        Txn txn = new Txn().guard(Keys.LEADER, 0).guard(Keys.TERM, termVersion)
+                .set(Keys.LEADER, Json.object().put("Node", settings.node()).put("Life", incarnation).put("Term", next), mine)
+                .set(Keys.TERM, Json.object().put("Term", next));
+        state.commit(txn, true, answer -> {
+            JsonNode body = answer.ok() ? answer.json() : null;
+            if (body == null) {
+                // A claim whose answer was lost may still be carried out, but only as long as the permit lives.
+                lost(mine);
+                return;
+            }
+            standing = false;
+            leading = true;
+            permit = mine;
+            term = next;
+            keyVersion = Json.count(body, "Ledger", 0);
+            validUntil = sentAt + Settings.shrunk(lifeS);
+            renewal++;
+            LOG.info("{} leads term {}: the leader's key was free; permit {}", settings.node(), term, permit);
+            listener.elected(term, keyVersion);
+            renewLater(renewal);
+        });
+    }
+
+    private void lost(long mine) {
+        Runnable again = () -> {
+            standing = false;
+            readLeader();
+        };
+        if (mine == 0) {
+            loop.after(pause(), again);
+        } else {
+            state.release(mine, released -> loop.after(pause(), again));
+        }
+    }
+
+    private void renewLater(int of) {
+        loop.after(lifeS / RENEWALS_PER_LIFE, () -> {
+            if (leading && of == renewal) {
+                renew(of);
+            }
+        });
+    }
+
+    private void renew(int of) {
+        double sentAt = loop.now();
+        state.renew(permit, Math.min(StateClient.TIMEOUT_S, lifeS / 2), answer -> {
+            if (!leading || of != renewal) {
+                return;
+            }
+            if (answer.ok()) {
+                validUntil = Math.max(validUntil, sentAt + Settings.shrunk(lifeS));
+                renewLater(of);
+            } else if (answer.status() == 404) {
+                stepDown("its permit is over");
+            } else {
+                missed(of, answer);
+            }
+        });
+    }
+
+    private void missed(int of, Answer answer) {
+        if (!acting()) {
+            // Not the end yet: after an outage of the state service the permit has its full time once more.
+            LOG.debug("renewal failed with {}; not acting", answer.status());
+        }
+        loop.after(lifeS / 20, () -> {
+            if (leading && of == renewal) {
+                renew(of);
+            }
+        });
+    }
+
+    /** Gives the leadership up, on proof that it is gone or because another node would serve better. */
+    public void stepDown(String why) {
+        if (!leading) {
+            return;
+        }
+        LOG.info("{} ends leading term {}: {}", settings.node(), term, why);
+        leading = false;
+        renewal++;
+        validUntil = Double.NEGATIVE_INFINITY;
+        leaderNode = null;
+        listener.deposed(why);
+        state.release(permit, released -> loop.after(lifeS / 2, this::readLeader));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -0,0 +1,272 @@
+package org.saffronshore.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.TaskId;
+
+/**
+ * One scheduling cycle: Armada's progressive filling over teams, with packing per team, and with
+ * evict-reschedule-stop. A pure function of the view and the seed; it changes only the scratch objects given to it.
+ */
+public final class Cycle {
+
+    /** A queue entry: a pending job, or one evicted task that may only return to its own host. */
+    private record Entry(Pending pending, Slot evicted, Host home) {
+        JobSpec job() {
+            return evicted != null ? evicted.job() : pending.job;
+        }
+    }
+
+    private final Collection<Host> hosts;
+    private final Map<String, Team> teams;
+    private final Tuning tuning;
+    private final Map<String, List<Entry>> queues = new LinkedHashMap<>();
+    private final List<Plan.Placement> placements = new ArrayList<>();
+    private final List<Plan.Stop> stops = new ArrayList<>();
+    private final Map<Pending, Integer> unmet = new LinkedHashMap<>();
+
+    private Cycle(Collection<Host> hosts, Map<String, Team> teams, Tuning tuning) {
+        this.hosts = hosts;
+        this.teams = teams;
+        this.tuning = tuning;
+    }
+
+    /** Runs a cycle; only one with {@code evict} reconsiders tasks that are running. */
+    public static Plan run(Collection<Host> hosts, Collection<Pending> jobs, Map<String, Team> teams, Tuning tuning,
+            boolean evict, RandomGenerator random) {
+        Cycle cycle = new Cycle(hosts, teams, tuning);
+        cycle.queue(jobs);
+        if (evict) {
+            cycle.evict(random);
+        }
+        cycle.fill();
+        List<Plan.Unmet> left = new ArrayList<>();
+        cycle.unmet.forEach((p, n) -> left.add(new Plan.Unmet(p.job, n)));
+        return new Plan(cycle.placements, cycle.stops, left);
+    }
+
+    private void queue(Collection<Pending> jobs) {
+        List<Pending> ordered = new ArrayList<>(jobs);
+        ordered.sort(Comparator.comparing((Pending p) -> -p.job.priority().ordinal()).thenComparing(p -> p.order));
+        for (Pending p : ordered) {
+            if (!p.tasks.isEmpty() && teams.containsKey(p.job.team())) {
+                queues.computeIfAbsent(p.job.team(), t -> new ArrayList<>()).add(new Entry(p, null, null));
+            }
+        }
+    }
+
+    /**
+     * Takes preemptible tasks off their hosts, in memory only. The protocol is narrower than the paper here: among
+     * equals, only what a team runs beyond its guarantee may be stopped, and only to give another its guarantee.
+     */
+    private void evict(RandomGenerator random) {
+        Set<String> starved = new HashSet<>();
+        queues.forEach((name, queue) -> {
+            Team team = teams.get(name);
+            if (queue.stream().anyMatch(e -> team.withinGuarantee(e.job()))) {
+                starved.add(name);
+            }
+        });
+        if (starved.isEmpty()) {
+            return;
+        }
+        for (Host host : hosts) {
+            if (random.nextDouble() >= tuning.evictionProbability()) {
+                continue;
+            }
+            for (Slot slot : List.copyOf(host.slots)) {
+                Team owner = teams.get(slot.job().team());
+                if (owner == null || starved.contains(slot.job().team()) || !owner.beyondGuarantee(slot.job())) {
+                    continue;
+                }
+                host.leave(slot);
+                owner.use(slot.job(), tuning, -1);
+                queues.computeIfAbsent(slot.job().team(), t -> new ArrayList<>()).add(0, new Entry(null, slot, host));
+            }
+        }
+    }
+
+    /** The smallest fraction of its fair share, counting the task at the head, decides which team is next. */
+    private void fill() {
+        record Head(String team, double fraction, int rank) {}
+        PriorityQueue<Head> heads = new PriorityQueue<>(
+                Comparator.comparingDouble(Head::fraction).thenComparing(Head::rank));
+        Map<String, Integer> at = new HashMap<>();
+        List<String> names = new ArrayList<>(queues.keySet());
+        for (int i = 0; i < names.size(); i++) {
+            at.put(names.get(i), 0);
+            heads.add(new Head(names.get(i), fraction(names.get(i), 0), i));
+        }
+        while (!heads.isEmpty()) {
+            Head head = heads.poll();
+            List<Entry> queue = queues.get(head.team);
+            int index = at.get(head.team);
+            if (step(queue.get(index), teams.get(head.team))) {
+                at.put(head.team, ++index);
+            }
+            if (index < queue.size()) {
+                heads.add(new Head(head.team, fraction(head.team, index), head.rank));
+            }
+        }
+    }
+
+    private double fraction(String team, int index) {
+        return teams.get(team).fraction(tuning.cost(queues.get(team).get(index).job()));
+    }
+
+    /** Places one task of the entry; true when the entry has nothing more to place. */
+    private boolean step(Entry entry, Team team) {
+        JobSpec job = entry.job();
+        if (entry.evicted != null) {
+            if (entry.home.room.fits(job)) {
+                entry.home.enter(job);
+                team.use(job, tuning, 1);
+            } else {
+                stops.add(new Plan.Stop(entry.evicted.task(), entry.home.id, "another team's guarantee"));
+            }
+            return true;
+        }
+        Pending pending = entry.pending;
+        if (!team.withinLimit(job)) {
+            return true;
+        }
+        TaskId task = new TaskId(job.id(), pending.tasks.peek());
+        Host host = choose(pending, task);
+        if (host == null) {
+            host = preempt(pending, task, team);
+        }
+        if (host == null) {
+            unmet.put(pending, countUnmet(pending, team));
+            return true;
+        }
+        pending.tasks.poll();
+        pending.entered(host.zone);
+        team.use(job, tuning, 1);
+        host.enter(job);
+        if (host.free.fits(job)) {
+            host.free.take(job);
+            placements.add(new Plan.Placement(task, host.id));
+        }
+        return pending.tasks.isEmpty();
+    }
+
+    private int countUnmet(Pending pending, Team team) {
+        int most = pending.tasks.size();
+        JobSpec job = pending.job;
+        if (team.rights.cpusMax() > 0 && job.cpus() > 0) {
+            most = (int) Math.min(most, (team.rights.cpusMax() - team.cpus) / job.cpus() + 1e-6);
+        }
+        return most;
+    }
+
+    /**
+     * Machines used only by the team, then empty ones, then shared ones, and in each set the one with the least
+     * free room; what is free now goes before what is only being freed.
+     */
+    private Host choose(Pending pending, TaskId task) {
+        Host best = null;
+        for (Host host : hosts) {
+            if (host.room.fits(pending.job) && allowed(host, pending, task)
+                    && (best == null || better(host, best, pending.job))) {
+                best = host;
+            }
+        }
+        return best;
+    }
+
+    private static boolean allowed(Host host, Pending pending, TaskId task) {
+        return host.allowed(pending.job) && pending.zoneAllowed(host.zone) && !host.barred(task);
+    }
+
+    private static boolean better(Host a, Host b, JobSpec job) {
+        boolean nowA = a.free.fits(job);
+        if (nowA != b.free.fits(job)) {
+            return nowA;
+        }
+        int setA = a.set(job.team());
+        int setB = b.set(job.team());
+        if (setA != setB) {
+            return setA < setB;
+        }
+        if (Math.abs(a.room.cpus - b.room.cpus) > 1e-6) {
+            return a.room.cpus < b.room.cpus;
+        }
+        return a.holds(job.image()) && !b.holds(job.image());
+    }
+
+    /** Makes room on the host where that wastes the least work, by stops that the protocol allows; null if nowhere. */
+    private Host preempt(Pending pending, TaskId task, Team team) {
+        boolean guaranteed = team.withinGuarantee(pending.job);
+        Host best = null;
+        List<Slot> bestVictims = null;
+        double bestLoss = Double.POSITIVE_INFINITY;
+        for (Host host : hosts) {
+            if (!allowed(host, pending, task)) {
+                continue;
+            }
+            List<Slot> victims = victims(host, pending.job, guaranteed);
+            double loss = victims == null ? Double.POSITIVE_INFINITY
+                    : victims.stream().mapToDouble(s -> s.lostS() * tuning.cost(s.job())).sum();
+            if (loss < bestLoss) {
+                best = host;
+                bestVictims = victims;
+                bestLoss = loss;
+            }
+        }
+        if (best == null) {
+            return null;
+        }
+        for (Slot victim : bestVictims) {
+            best.leave(victim);
+            teams.get(victim.job().team()).use(victim.job(), tuning, -1);
+            stops.add(new Plan.Stop(victim.task(), best.id, guaranteed ? "the guarantee of " + pending.job.team()
+                    : "higher priority of " + pending.job.id()));
+        }
+        return best;
+    }
+
+    private List<Slot> victims(Host host, JobSpec job, boolean guaranteed) {
+        List<Slot> candidates = new ArrayList<>();
+        for (Slot slot : host.slots) {
+            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
+            Team owner = teams.get(slot.job().team());
+            boolean borrowed = guaranteed && owner != null && !slot.job().team().equals(job.team())
+                    && owner.beyondGuarantee(slot.job());
+            if (owner != null && (lower || borrowed)) {
+                candidates.add(slot);
+            }
+        }
+        candidates.sort(Comparator.comparingDouble((Slot s) -> s.lostS() * tuning.cost(s.job())));
+        Room room = host.room.copy();
+        List<Slot> victims = new ArrayList<>();
+        Map<String, Room> taken = new HashMap<>();
+        for (Slot slot : candidates) {
+            if (room.fits(job)) {
+                break;
+            }
+            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
+            Room sum = taken.computeIfAbsent(slot.job().team(), t -> new Room(0, 0, 0));
+            sum.give(slot.job());
+            Team owner = teams.get(slot.job().team());
+            // Several victims of one team may together reach into its guarantee even if none does alone.
+            if (!lower && (owner.rights.cpus() > 0 && owner.cpus - sum.cpus < owner.rights.cpus() - 1e-6
+                    || owner.rights.gpus() > 0 && owner.gpus - sum.gpus < owner.rights.gpus() - 1e-6)) {
+                sum.take(slot.job());
+                continue;
+            }
+            victims.add(slot);
+            room.give(slot.job());
+        }
+        return room.fits(job) && !victims.isEmpty() ? victims : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -0,0 +1,80 @@
+package org.saffronshore.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.TaskId;
+
+/**
+ * A machine during one cycle. {@code free} is what is free now; {@code room} adds what tasks that are being
+ * stopped, or are evicted in memory, will leave. A task that only fits the latter is promised its place, not
+ * started there.
+ */
+public final class Host {
+    public final String id;
+    public final String type;
+    public final String zone;
+    public final boolean spot;
+    public final Room free;
+    public final Room room;
+    final List<Slot> slots = new ArrayList<>();
+    final Map<String, Integer> teams = new HashMap<>();
+    private final Set<TaskId> barred;
+    private final Set<String> images;
+
+    public Host(String id, String type, String zone, boolean spot, Room capacity, Set<TaskId> barred,
+            Set<String> images) {
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.free = capacity;
+        this.room = capacity.copy();
+        this.barred = barred;
+        this.images = images;
+    }
+
+    /** Puts a task that is there already. */
+    public void add(Slot slot) {
+        free.take(slot.job());
+        if (!slot.stopping()) {
+            room.take(slot.job());
+            slots.add(slot);
+            teams.merge(slot.job().team(), 1, Integer::sum);
+        }
+    }
+
+    void leave(Slot slot) {
+        room.give(slot.job());
+        slots.remove(slot);
+        teams.merge(slot.job().team(), -1, (a, b) -> a + b == 0 ? null : a + b);
+    }
+
+    void enter(JobSpec job) {
+        room.take(job);
+        teams.merge(job.team(), 1, Integer::sum);
+    }
+
+    /** Whether the job may use this machine at all, however full it is. */
+    boolean allowed(JobSpec job) {
+        return (job.types() == null || job.types().contains(type))
+                && (job.zone() == null || job.zone().equals(zone))
+                && (!spot || job.spot());
+    }
+
+    boolean barred(TaskId task) {
+        return barred.contains(task);
+    }
+
+    boolean holds(String image) {
+        return images.contains(image);
+    }
+
+    /** 0 where only this team is, 1 where nobody is, 2 where others are: the order in which sets are tried. */
+    int set(String team) {
+        return teams.isEmpty() ? 1 : teams.size() == 1 && teams.containsKey(team) ? 0 : 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/scheduling/Plan.java
@@ -0,0 +1,16 @@
+package org.saffronshore.scheduling;
+
+import java.util.List;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.TaskId;
+
+/** What a cycle decided. */
+public record Plan(List<Placement> placements, List<Stop> stops, List<Unmet> unmet) {
+
+    public record Placement(TaskId task, String host) {}
+
+    public record Stop(TaskId task, String host, String why) {}
+
+    /** Tasks of a job that found no place although the team's limit lets them run; in the order of the queue. */
+    public record Unmet(JobSpec job, int tasks) {}
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/scheduling/Room.java
@@ -0,0 +1,37 @@
+package org.saffronshore.scheduling;
+
+import org.saffronshore.wire.JobSpec;
+
+/** An amount of each resource; mutable scratch space of the cycle and of the fleet's plan. */
+public final class Room {
+    private static final double CRUMB = 1e-6;
+    public double cpus;
+    public double gpus;
+    public double memoryGb;
+
+    public Room(double cpus, double gpus, double memoryGb) {
+        this.cpus = cpus;
+        this.gpus = gpus;
+        this.memoryGb = memoryGb;
+    }
+
+    public Room copy() {
+        return new Room(cpus, gpus, memoryGb);
+    }
+
+    public boolean fits(JobSpec job) {
+        return cpus + CRUMB >= job.cpus() && gpus + CRUMB >= job.gpus() && memoryGb + CRUMB >= job.memoryGb();
+    }
+
+    public void take(JobSpec job) {
+        cpus -= job.cpus();
+        gpus -= job.gpus();
+        memoryGb -= job.memoryGb();
+    }
+
+    public void give(JobSpec job) {
+        cpus += job.cpus();
+        gpus += job.gpus();
+        memoryGb += job.memoryGb();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -0,0 +1,40 @@
+package org.saffronshore.state;
+
+/** Where things are kept in the state service. */
+public final class Keys {
+    /** Jobs that are accepted and not over. */
+    public static final String JOBS = "j/";
+    /** How jobs ended; these are never changed or removed. */
+    public static final String FINALS = "f/";
+    /** Finished tasks of jobs that are not over. */
+    public static final String PROGRESS = "p/";
+    /** Machines that may hold tasks. */
+    public static final String ROSTER = "r/";
+    public static final String LEADER = "l/leader";
+    public static final String TERM = "t/term";
+    public static final String OPERATOR = "o/settings";
+
+    private Keys() {}
+
+    public static String job(String id) {
+        return JOBS + id;
+    }
+
+    public static String end(String id) {
+        return FINALS + id;
+    }
+
+    public static String machine(String id) {
+        return ROSTER + id;
+    }
+
+    public static String progress(String id, int chunk) {
+        return PROGRESS + id + "/" + chunk;
+    }
+
+    public static String idOf(String key) {
+        int from = key.indexOf('/') + 1;
+        int to = key.indexOf('/', from);
+        return to < 0 ? key.substring(from) : key.substring(from, to);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -0,0 +1,116 @@
+package org.saffronshore.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.saffronshore.config.Settings;
+import org.saffronshore.http.Answer;
+import org.saffronshore.http.Client;
+import org.saffronshore.http.Loop;
+import org.saffronshore.wire.Json;
+
+/** The state service as one node uses it: within the node's budget, and with a time limit on every request. */
+public final class StateClient {
+    /** What is answered here, without asking, when the node's budget is spent. */
+    private static final Answer OVER_BUDGET = new Answer(429, new byte[0]);
+
+    /** Users wait two seconds for the answer to a question; this leaves a node time to say that it has none. */
+    public static final double TIMEOUT_S = 1.5;
+    private static final int PAGE = 500;
+
+    public record Entry(String key, JsonNode value, long version) {}
+
+    /** All keys under a prefix, and the revision from which a watch on them continues. */
+    public record Listing(List<Entry> entries, long revision) {}
+
+    private final Loop loop;
+    private final Client client;
+    private final Settings settings;
+    private final Budget requests;
+    private final Budget writes;
+    /** When the service last answered a request of this node with anything but a refusal. */
+    private double answeredAt = Double.NEGATIVE_INFINITY;
+
+    public StateClient(Loop loop, Client client, Settings settings) {
+        this.loop = loop;
+        this.client = client;
+        this.settings = settings;
+        this.requests = new Budget(loop, settings.stateRps() / settings.controllers());
+        this.writes = new Budget(loop, settings.stateWriteRps() / settings.controllers());
+    }
+
+    public double answeredAt() {
+        return answeredAt;
+    }
+
+    private void send(String method, String path, byte[] body, double timeoutS, boolean vital, Answer.Receiver then) {
+        if (!requests.take(1, vital)) {
+            loop.soon(() -> then.receive(OVER_BUDGET));
+            return;
+        }
+        client.send(settings.state(), method, path, body, timeoutS, answer -> {
+            if (answer.status() > 0 && answer.status() < 429) {
+                answeredAt = loop.now();
+            }
+            then.receive(answer);
+        });
+    }
+
+    /** 200 with the entry, 404 when the key does not exist; anything else says nothing about the key. */
+    public void get(String key, boolean vital, Answer.Receiver then) {
+        send("GET", "/kv/" + key, null, TIMEOUT_S, vital, then);
+    }
+
+    public void commit(Txn txn, boolean vital, Answer.Receiver then) {
+        if (txn.changes() > 0 && !writes.take(txn.changes(), vital)) {
+            loop.soon(() -> then.receive(OVER_BUDGET));
+            return;
+        }
+        send("POST", "/commit", txn.bytes(), TIMEOUT_S, vital, then);
+    }
+
+    public void grant(double lifeS, Answer.Receiver then) {
+        send("POST", "/holds", Json.bytes(Json.object().put("LifeMs", Math.round(lifeS * 1000))), TIMEOUT_S, true, then);
+    }
+
+    public void renew(long permit, double timeoutS, Answer.Receiver then) {
+        send("POST", "/holds/" + permit + "/renew", Json.bytes(Json.object()), timeoutS, true, then);
+    }
+
+    public void release(long permit, Answer.Receiver then) {
+        send("DELETE", "/holds/" + permit, null, TIMEOUT_S, true, then);
+    }
+
+    /** Reads every key under a prefix; null when a page could not be had. */
+    public void list(String prefix, Consumer<Listing> then) {
+        page(prefix, "", new ArrayList<>(), -1, then);
+    }
+
+    private void page(String prefix, String after, List<Entry> entries, long first, Consumer<Listing> then) {
+        String path = "/kv?Under=" + prefix + (after.isEmpty() ? "" : "&After=" + after) + "&Most=" + PAGE;
+        send("GET", path, null, TIMEOUT_S, true, answer -> {
+            JsonNode body = answer.ok() ? answer.json() : null;
+            if (body == null || !body.path("Items").isArray()) {
+                then.accept(null);
+                return;
+            }
+            for (JsonNode item : body.get("Items")) {
+                entries.add(new Entry(Json.text(item, "K"), item.get("Data"), Json.count(item, "Stamp", 0)));
+            }
+            // Pages may be of different moments: a watch from the first one's revision catches up with the rest.
+            long revision = first >= 0 ? first : Json.count(body, "Ledger", 0);
+            if (Json.flag(body, "Truncated") && !entries.isEmpty()) {
+                page(prefix, entries.get(entries.size() - 1).key(), entries, revision, then);
+            } else {
+                then.accept(new Listing(entries, revision));
+            }
+        });
+    }
+
+    /** Waits for changes under a prefix after a revision: 200 with events, 410 when the revision is too old. */
+    public void watch(String prefix, long after, double holdS, Answer.Receiver then) {
+        send("GET", "/changes?Under=" + prefix + "&After=" + after + "&HoldMs=" + Math.round(holdS * 1000), null,
+                holdS + TIMEOUT_S, true, then);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/saffronshore/state/Txn.java
@@ -0,0 +1,43 @@
+package org.saffronshore.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.saffronshore.wire.Json;
+
+/** A transaction in the making: guards on versions of keys, and changes that all happen or do not. */
+public final class Txn {
+    private final ObjectNode body = Json.object();
+    private final ArrayNode guards = body.putArray("Guards");
+    private final ArrayNode changes = body.putArray("Then");
+
+    /** Version 0 asks that the key does not exist. */
+    public Txn guard(String key, long version) {
+        guards.addObject().put("K", key).put("Stamp", version);
+        return this;
+    }
+
+    public Txn set(String key, JsonNode value) {
+        changes.addObject().put("Set", key).set("Data", value);
+        return this;
+    }
+
+    /** Sets a key that goes away with the permit it hangs on. */
+    public Txn set(String key, JsonNode value, long permit) {
+        changes.addObject().put("Set", key).put("Permit", permit).set("Data", value);
+        return this;
+    }
+
+    public Txn remove(String key) {
+        changes.addObject().put("Remove", key);
+        return this;
+    }
+
+    public int changes() {
+        return changes.size();
+    }
+
+    byte[] bytes() {
+        return Json.bytes(body);
+    }
+}
