--- /dev/null
+++ b/src/test/java/org/saffronshore/control/NodeTest.java
@@ -0,0 +1,272 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.HandLoop;
+import org.saffronshore.Samples;
+import org.saffronshore.StateStandIn;
+import org.saffronshore.config.Settings;
+import org.saffronshore.config.Settings.Address;
+import org.saffronshore.http.Answer;
+import org.saffronshore.http.Client;
+import org.saffronshore.http.Request;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.Priority;
+
+/** Whole nodes on a hand-moved clock, with stand-ins for everything around them. */
+class NodeTest {
+    private static final double RUN_S = 20;
+    private final HandLoop loop = new HandLoop();
+    private final StateStandIn state = new StateStandIn(loop);
+    private final Map<Address, Worker> workers = new LinkedHashMap<>();
+    private final List<String> starts = new ArrayList<>();
+    private Process process;
+
+    /** One life of a controller: once killed, it neither hears nor is heard. */
+    private final class Process implements Client {
+        final Node node;
+        boolean dead;
+
+        Process(String name) throws InvalidField {
+            ObjectNode json = Samples.settingsJson();
+            json.put("node", name).putArray("peers");
+            Settings settings = Settings.parse(json);
+            node = new Node(loop, settings, this, new Random(name.hashCode()));
+            node.start();
+        }
+
+        @Override
+        public void send(Address to, String method, String path, byte[] body, double timeoutS, Answer.Receiver then) {
+            Answer.Receiver alive = answer -> {
+                if (!dead) {
+                    then.receive(answer);
+                }
+            };
+            if (dead) {
+                return;
+            }
+            if (to.host().equals("10.2.0.1")) {
+                state.send(to, method, path, body, timeoutS, alive);
+            } else if (to.host().equals("10.2.0.2")) {
+                loop.after(0.01, () -> alive.receive(cloud(path, body)));
+            } else if (workers.containsKey(to)) {
+                loop.after(0.001, () -> alive.receive(workers.get(to).command(Json.parse(body))));
+            } else {
+                loop.after(0.001, () -> alive.receive(Answer.NOT_SENT));
+            }
+        }
+
+        JsonNode ask(String method, String path, JsonNode body, int status) {
+            List<JsonNode> answers = new ArrayList<>();
+            node.handle(new Request(method, path, body == null ? new byte[0] : Json.bytes(body)),
+                    (code, type, bytes, retryAfterS) -> {
+                        assertEquals(status, code, new String(bytes));
+                        answers.add(Json.parse(bytes));
+                    });
+            for (int i = 0; i < 500 && answers.isEmpty(); i++) {
+                loop.pass(0.01);
+            }
+            assertEquals(1, answers.size());
+            return answers.get(0);
+        }
+    }
+
+    /** A machine's worker as the protocol describes it, as far as these tests go. */
+    private final class Worker {
+        final ObjectNode report = Json.object();
+        final Map<String, ObjectNode> tasks = new LinkedHashMap<>();
+        long seq;
+        long token;
+
+        Worker(String id) {
+            report.put("Cadre", id).put("Address", "10.1.0." + workers.size() + ":9000").put("Rig", "big")
+                    .put("Depot", "a").put("Loaner", true).put("Shift", 1);
+            loop.after(1, this::send);
+        }
+
+        ObjectNode report() {
+            ArrayNode legs = report.put("Tick", ++seq).put("Baton", token).putArray("Legs");
+            tasks.values().forEach(t -> legs.add(t.deepCopy()));
+            return report;
+        }
+
+        void send() {
+            if (!process.dead) {
+                process.node.handle(new Request("POST", "/v1/report", Json.bytes(report())), (code, type, bytes, r) -> {
+                    if (code == 200) {
+                        command(Json.parse(bytes));
+                    }
+                });
+            }
+            loop.after(1, this::send);
+        }
+
+        Answer command(JsonNode message) {
+            if (message.get("Baton").asLong() < token) {
+                return new Answer(409, Json.bytes(report()));
+            }
+            token = message.get("Baton").asLong();
+            for (JsonNode c : message.get("Calls")) {
+                String key = c.get("Leg").asText() + "#" + c.get("Lap").asLong();
+                switch (c.get("Call").asText()) {
+                    case "launch" -> launch(key, c);
+                    case "kill" -> end(key, "halted");
+                    default -> tasks.remove(key);
+                }
+            }
+            return new Answer(200, Json.bytes(report()));
+        }
+
+        private void launch(String key, JsonNode c) {
+            if (!tasks.containsKey(key)) {
+                starts.add(c.get("Leg").asText());
+                tasks.put(key, Json.object().put("Leg", c.get("Leg").asText()).put("Lap", c.get("Lap").asLong())
+                        .put("Status", "running"));
+                loop.after(RUN_S, () -> end(key, "done"));
+            }
+        }
+
+        private void end(String key, String why) {
+            if (tasks.containsKey(key) && !tasks.get(key).has("Cause")) {
+                tasks.get(key).put("Status", "ended").put("Cause", why);
+            }
+        }
+    }
+
+    private Answer cloud(String path, byte[] body) {
+        ObjectNode answer = Json.object();
+        if (path.equals("/machine_types")) {
+            answer.putArray("Rigs").addObject().put("Label", "big").put("Cores", 8).put("RamGb", 64).put("CacheGb", 50)
+                    .put("FetchGbPerS", 1).put("Hourly", 2).put("LowPrice", 1).put("BootS", 4).putArray("Depots").add("a");
+        } else if (path.equals("/hosts")) {
+            ArrayNode names = answer.putArray("Cadres");
+            for (int i = Json.parse(body).get("Count").asInt(); i > 0; i--) {
+                String id = "host-" + workers.size();
+                workers.put(new Address("10.1.0." + workers.size(), 9000), new Worker(id));
+                names.add(id);
+            }
+        } else if (path.startsWith("/hosts?")) {
+            ArrayNode all = answer.putArray("Cadres");
+            workers.values().forEach(w -> all.add(((ObjectNode) w.report.deepCopy())
+                    .put("Uid", w.report.get("Cadre").asText()).put("Status", "running").put("HeldS", 5)));
+        }
+        return new Answer(200, Json.bytes(answer));
+    }
+
+    @BeforeEach
+    void start() throws InvalidField {
+        process = new Process("n-0");
+        loop.pass(2);
+    }
+
+    private static JobSpec job(String id, int tasks) {
+        return Samples.job(id, "red", Priority.STANDARD, tasks, 4);
+    }
+
+    private String status(String id) {
+        return process.ask("GET", "/work/" + id, null, 200).get("Status").asText();
+    }
+
+    @Test
+    void runsAJobFromSubmissionToDone() {
+        assertEquals("pending", process.ask("POST", "/work", job("wk-1", 4).toJson(), 201).get("Status").asText());
+        process.ask("POST", "/work", job("wk-1", 4).toJson(), 200);
+        loop.pass(10);
+        assertEquals(2, workers.size(), "two machines hold four tasks");
+        assertEquals("running", status("wk-1"));
+        loop.pass(RUN_S);
+        assertEquals("done", status("wk-1"));
+        assertEquals(4, starts.size());
+        process.ask("POST", "/work", job("wk-1", 4).toJson(), 200);
+        assertEquals("done", process.ask("POST", "/work/wk-1/cancel", null, 200).get("Status").asText());
+    }
+
+    @Test
+    void aCancelledJobIsGoneAndStartsNoMore() {
+        process.ask("POST", "/work", job("wk-1", 4).toJson(), 201);
+        loop.pass(10);
+        assertEquals("aborted", process.ask("POST", "/work/wk-1/cancel", null, 200).get("Status").asText());
+        loop.pass(3);
+        assertTrue(workers.values().stream().allMatch(w -> w.tasks.isEmpty()));
+        loop.pass(60);
+        assertEquals(4, starts.size());
+        assertEquals("aborted", status("wk-1"));
+    }
+
+    /** The next leader neither starts what runs, nor runs again what had finished. */
+    @Test
+    void aChangeOfLeaderStartsNothingTwice() throws InvalidField {
+        process.ask("POST", "/work", job("wk-1", 4).toJson(), 201);
+        loop.pass(12);
+        process.ask("POST", "/work", job("wk-2", 2).toJson(), 201);
+        loop.pass(3);
+        process.dead = true;
+        process = new Process("n-0");
+        loop.pass(RUN_S * 2);
+        assertEquals("done", status("wk-1"));
+        assertEquals("done", status("wk-2"));
+        assertEquals(starts.stream().distinct().count(), starts.size(), starts.toString());
+    }
+
+    /** Finished tasks are kept, also when the machine on which they finished is gone by the time of the takeover. */
+    @Test
+    void finishedTasksOutliveTheirMachines() throws InvalidField {
+        process.ask("POST", "/work", job("wk-1", 4).toJson(), 201);
+        loop.pass(10);
+        Worker first = workers.values().iterator().next();
+        first.tasks.keySet().forEach(key -> first.end(key, "done"));
+        loop.pass(5);
+        assertEquals(2, process.ask("GET", "/work/wk-1", null, 200).get("done").asInt());
+        process.dead = true;
+        workers.remove(new Address("10.1.0.0", 9000));
+        first.tasks.clear();
+        process = new Process("n-0");
+        loop.pass(RUN_S + 10);
+        assertEquals("done", status("wk-1"));
+        assertEquals(4, starts.size(), starts.toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET, /work/wk-9, 404", "GET, /work/nonsense, 404", "GET, /work, 405", "POST, /healthz, 405",
+        "GET, /elsewhere, 404", "POST, /work/wk-9/cancel, 404", "GET, /work/wk-9/cancel, 405", "GET, /healthz, 200",
+        "POST, /work, 400", "POST, /v1/report, 400", "GET, /metrics, 404", "GET, /admin/settings, 404"})
+    void answersByPathAndMethod(String method, String path, int status) {
+        process.ask(method, path, null, status);
+    }
+
+    @Test
+    void whatCanNeverRunIsRefusedUnlessItIsKnown() {
+        process.ask("POST", "/work", Samples.job("wk-1", "nobody", Priority.IDLE, 1, 1).toJson(), 422);
+        process.ask("POST", "/work", Samples.job("wk-1", "red", Priority.IDLE, 1, 9).toJson(), 422);
+        process.ask("POST", "/work", job("wk-1", 1).toJson(), 201);
+        process.ask("POST", "/work", Samples.job("wk-1", "nobody", Priority.IDLE, 1, 1).toJson(), 200);
+        process.ask("POST", "/work", job("wk-1", 1).toJson().put("Legs", -1), 200);
+    }
+
+    @Test
+    void withoutTheStateServiceNothingIsGuessed() {
+        state.away = (method, path) -> true;
+        process.ask("POST", "/work", job("wk-1", 1).toJson(), 503);
+        process.ask("GET", "/work/wk-1", null, 503);
+        process.ask("POST", "/work/wk-1/cancel", null, 503);
+        process.ask("GET", "/healthz", null, 200);
+        state.away = (method, path) -> false;
+        assertFalse(process.ask("POST", "/work", job("wk-1", 1).toJson(), 201).isNull());
+    }
+}
