--- a/src/main/java/org/saffronshore/cli/ControllerCommand.java
+++ b/src/main/java/org/saffronshore/cli/ControllerCommand.java
@@ -10,6 +10,7 @@
 import org.saffronshore.control.Node;
 import org.saffronshore.http.HttpClient;
 import org.saffronshore.http.NettyLoop;
+import org.saffronshore.http.Sockets;
 import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.Json;
 import org.slf4j.Logger;
@@ -62,7 +63,7 @@
 
     static void run(Settings settings) throws InterruptedException {
         NettyLoop loop = new NettyLoop();
-        HttpClient client = new HttpClient(loop, loop.group(), Math.max(8, settings.sockets() / 4),
+        HttpClient client = new HttpClient(loop, loop.group(), new Sockets(Math.max(8, settings.sockets() / 6)),
                 HttpClient.IDLE_S);
         Node node = new Node(loop, settings, client, RandomGenerator.of("L64X128MixRandom"));
         node.serve(loop.group());
--- a/src/main/java/org/saffronshore/cloud/CloudClient.java
+++ b/src/main/java/org/saffronshore/cloud/CloudClient.java
@@ -30,7 +30,7 @@
         this.loop = loop;
         this.client = client;
         this.settings = settings;
-        this.budget = new Budget(loop, settings.cloudRps() * SHARE);
+        this.budget = new Budget(loop, settings.cloudRps() * SHARE, 2);
     }
 
     private void send(String method, String path, JsonNode body, boolean vital, Answer.Receiver then) {
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -14,12 +13,10 @@
 import org.saffronshore.config.Settings.Address;
 import org.saffronshore.fleet.Arrivals;
 import org.saffronshore.fleet.Forecast;
-import org.saffronshore.fleet.Kind;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Host;
 import org.saffronshore.scheduling.Pending;
 import org.saffronshore.scheduling.Room;
-import org.saffronshore.scheduling.Slot;
 import org.saffronshore.scheduling.Team;
 import org.saffronshore.scheduling.Tuning;
 import org.saffronshore.wire.Command;
@@ -41,14 +38,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
     /** Attempts of one term are numbered from the term, so that no two terms ever use a number twice. */
     private static final int TERM_SHIFT = 24;
-    private static final int MOST_COMMANDS = 400;
     /** A machine that fails this many tasks in a row is not trusted any more. */
     public static final int STRIKES = 2;
     /** A job that failed on this many machines in a row is itself at fault. */
     private static final int BAD_JOB_MACHINES = 3;
+    /** A machine counts as silent when it has let this many reports be missed. */
+    private static final double MISSED_REPORTS = 2.2;
     private static final int REMEMBERED_GONE = 5_000;
-    /** Owners' estimates are trusted until about this much running time of a class was seen. */
-    private static final double PRIOR_RUNS_S = 200;
 
     private final Loop loop;
     private final Settings settings;
@@ -62,14 +58,16 @@
     private Map<String, MachineType> types = Map.of();
     /** Machines that may hold tasks of earlier terms and have not been heard in this one. */
     private final Set<Machine> unsettled = new LinkedHashSet<>();
-    /** For each class, seconds that finished tasks ran and seconds that their owners had estimated. */
-    private final Map<String, double[]> seenRuns = new HashMap<>();
+    private final RunTimes runs = new RunTimes();
     private final Arrivals arrivals = new Arrivals();
     private long lastAttempt;
     private boolean changed;
-    private final Set<Machine> toCall = new LinkedHashSet<>();
-    private final Set<Job> toSave = new LinkedHashSet<>();
+    private final Calls calls;
+    private final Views views;
+    private final Set<Job> unsaved = new LinkedHashSet<>();
+    private final Set<Job> complete = new LinkedHashSet<>();
     private final Set<String> rosterLeft = new LinkedHashSet<>();
+    private final Set<Machine> notInRoster = new LinkedHashSet<>();
 
     public Cluster(Loop loop, Settings settings, long term, long termVersion) {
         this.loop = loop;
@@ -77,6 +75,8 @@
         this.term = term;
         this.termVersion = termVersion;
         this.startedAt = loop.now();
+        this.calls = new Calls(this, loop, settings);
+        this.views = new Views(this, loop, settings);
     }
 
     public long term() {
@@ -92,12 +92,15 @@
     }
 
     public void types(Map<String, MachineType> newTypes) {
-        types = newTypes;
-        changed = true;
+        if (!newTypes.equals(types)) {
+            types = newTypes;
+            machines.values().forEach(Machine::changed);
+            changed = true;
+        }
     }
 
     /** Null as long as the machine's type, or all types, are not known. */
-    private MachineType typeOf(Machine m) {
+    MachineType typeOf(Machine m) {
         return m.type == null ? null : types.get(m.type);
     }
 
@@ -125,6 +128,10 @@
         return unsettled.contains(m);
     }
 
+    Set<Machine> unsettled() {
+        return unsettled;
+    }
+
     public int unsettledCount() {
         return unsettled.size();
     }
@@ -136,15 +143,19 @@
         return was;
     }
 
-    /** Machines that have commands waiting. */
-    public List<Machine> takeToCall() {
-        List<Machine> all = new ArrayList<>(toCall);
-        toCall.clear();
-        return all;
+    /** A machine that may have commands waiting, or null. */
+    public Machine nextToCall() {
+        return calls.next();
     }
 
-    public Set<Job> toSave() {
-        return toSave;
+    /** Jobs with finished tasks that the state service does not know of yet. */
+    public Set<Job> unsaved() {
+        return unsaved;
+    }
+
+    /** Open jobs whose tasks are all finished. */
+    public Set<Job> complete() {
+        return complete;
     }
 
     // Jobs
@@ -164,7 +175,7 @@
             }
         }
         if (job.complete()) {
-            toSave.add(job);
+            complete.add(job);
         }
         changed = true;
     }
@@ -175,7 +186,8 @@
         if (job == null) {
             return;
         }
-        toSave.remove(job);
+        unsaved.remove(job);
+        complete.remove(job);
         for (Attempt a : job.placed.values()) {
             stop(a, 0, "its job is over");
         }
@@ -185,12 +197,15 @@
     /** Marks finished tasks as known to the state service; their attempts need not be kept any more. */
     public void saved(Job job, BitSet tasks) {
         job.saved.or(tasks);
+        if (!job.unsaved()) {
+            unsaved.remove(job);
+        }
     }
 
     // Machines
 
     private Machine known(String id) {
-        return machines.computeIfAbsent(id, m -> new Machine(m, loop.now()));
+        return machines.computeIfAbsent(id, m -> new Machine(m, MISSED_REPORTS * settings.reportS(), loop.now()));
     }
 
     /**
@@ -227,7 +242,7 @@
         if (m == null) {
             m = known(id);
             m.rentedAt = loop.now() - ageS;
-            LOG.info("machine {} ({} in {}, spot {}) is in the cloud's list, and was not known", id, type, zone, spot);
+            LOG.debug("machine {} ({} in {}, spot {}) is in the cloud's list, and was not known", id, type, zone, spot);
         }
         m.type = type;
         m.zone = zone;
@@ -235,7 +250,7 @@
         setAddress(m, address);
         if (failed && !m.failed) {
             // A failed machine has stopped of its own accord: nothing on it runs, now or later.
-            LOG.info("machine {} has failed, says the cloud", id);
+            LOG.debug("machine {} has failed, says the cloud", id);
             m.failed = true;
             release(m);
         }
@@ -256,7 +271,7 @@
 
     /** The machine does not exist any more, and nothing on it. */
     public void gone(Machine m, String why) {
-        LOG.info("machine {} is gone: {}; it held {} tasks", m.id, why, m.attempts.size());
+        LOG.debug("machine {} is gone: {}; it held {} tasks", m.id, why, m.attempts.size());
         release(m);
         machines.remove(m.id);
         gone.add(m.id);
@@ -273,21 +288,22 @@
         return rosterLeft;
     }
 
+    /** Whether the roster lacks a machine, or has one too many. */
+    public boolean rosterDue() {
+        return !notInRoster.isEmpty() || !rosterLeft.isEmpty();
+    }
+
     /** Machines that are ready for tasks but for their place in the roster. */
-    public List<Machine> notInRoster(int most) {
-        List<Machine> all = new ArrayList<>();
-        for (Machine m : machines.values()) {
-            if (m.up && m.settled && !m.inRoster && all.size() < most) {
-                m.rosterBusy = true;
-                all.add(m);
-            }
-        }
-        return all;
+    public List<Machine> notInRoster() {
+        notInRoster.removeIf(m -> machines.get(m.id) != m);
+        notInRoster.forEach(m -> m.rosterBusy = true);
+        return new ArrayList<>(notInRoster);
     }
 
     public void inRoster(List<Machine> added) {
         for (Machine m : added) {
             m.inRoster = true;
+            notInRoster.remove(m);
         }
         changed = true;
     }
@@ -314,7 +330,7 @@
         for (Machine m : machines.values()) {
             boolean mayHold = m.up || unsettled.contains(m);
             if (mayHold && now > m.answeredAt + Settings.stretched(settings.leaseS()) + settings.reportS() / 30) {
-                LOG.info("machine {} counts as lost: nothing heard, and its lease is over; it held {} tasks", m.id,
+                LOG.debug("machine {} counts as lost: nothing heard, and its lease is over; it held {} tasks", m.id,
                         m.attempts.size());
                 m.deadSession = Math.max(m.deadSession, m.session);
                 m.up = false;
@@ -379,13 +395,14 @@
         double now = loop.now();
         if (r.session() > m.session) {
             if (m.session > 0 && !m.attempts.isEmpty()) {
-                LOG.info("machine {} began session {}: what it held is gone", m.id, r.session());
+                LOG.debug("machine {} began session {}: what it held is gone", m.id, r.session());
             }
             for (Attempt a : m.allAttempts()) {
                 over(a);
             }
             m.exited.clear();
             m.session = r.session();
+            m.changed();
         }
         m.seq = r.seq();
         m.heardAt = now;
@@ -394,19 +411,27 @@
             m.upAt = Double.isNaN(m.upAt) ? now : m.upAt;
             m.idleSince = now;
             changed = true;
-            LOG.info("machine {} is up after {} s ({} in {}, spot {})", m.id, Math.round(now - m.rentedAt), m.type,
+            LOG.debug("machine {} is up after {} s ({} in {}, spot {})", m.id, Math.round(now - m.rentedAt), m.type,
                     m.zone, m.spot);
         }
         boolean noticedNow = false;
         if (r.noticeS() != null) {
             if (!m.noticed()) {
-                LOG.info("machine {} is to be taken back in {} s", m.id, r.noticeS());
+                LOG.debug("machine {} is to be taken back in {} s", m.id, r.noticeS());
                 changed = true;
                 noticedNow = true;
             }
             m.noticeUntil = now + r.noticeS();
         }
         boolean settledNow = !m.settled && r.token() >= term;
+        // Most reports say nothing new, and there are hundreds in a second.
+        if (!settledNow && !noticedNow && r.tasks().equals(m.applied)) {
+            if (calls.needsCall(m)) {
+                calls.due(m);
+            }
+            return;
+        }
+        m.host = null;
         Set<TaskId> seen = new HashSet<>();
         for (Report.Task t : r.tasks()) {
             seen.add(t.task());
@@ -418,6 +443,7 @@
             }
         }
         m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
+        m.applied = r.tasks();
         if (noticedNow) {
             drain(m, r.noticeS());
         }
@@ -425,12 +451,15 @@
             m.settled = true;
             unsettled.remove(m);
             changed = true;
+            if (!m.inRoster) {
+                notInRoster.add(m);
+            }
         }
         if (m.attempts.isEmpty() != Double.isFinite(m.idleSince)) {
             m.idleSince = m.attempts.isEmpty() ? now : Double.POSITIVE_INFINITY;
         }
-        if (needsCall(m)) {
-            toCall.add(m);
+        if (calls.needsCall(m)) {
+            calls.due(m);
         }
     }
 
@@ -503,11 +532,11 @@
         changed = true;
         if (job != null && why == Report.Why.DONE) {
             a.done = true;
-            learn(a);
+            runs.learn(a, loop.now());
             if (!job.done.get(a.task.index())) {
                 job.done.set(a.task.index());
                 job.waiting.clear(a.task.index());
-                toSave.add(job);
+                (job.complete() ? complete : unsaved).add(job);
                 Attempt other = job.placed.get(a.task.index());
                 if (other != null && other != a) {
                     stop(other, 0, "it is done already");
@@ -521,7 +550,7 @@
         if (mine && why == Report.Why.ERROR && !wasStopping && job != null) {
             failure(m, job, a);
         } else if (mine && (why == Report.Why.NO_ROOM || why == Report.Why.BUSY || why == Report.Why.UNKNOWN)) {
-            LOG.info("machine {} refused task {}: {}", m.id, a.task, why);
+            LOG.debug("machine {} refused task {}: {}", m.id, a.task, why);
             m.suspendedUntil = loop.now() + settings.reportS();
         }
     }
@@ -537,12 +566,13 @@
         }
         m.strikes++;
         m.suspendedUntil = loop.now() + settings.reportS() * 2 * m.strikes;
-        LOG.info("task {} failed on {}; failures there in a row: {}", a.task, m.id, m.strikes);
+        LOG.debug("task {} failed on {}; failures there in a row: {}", a.task, m.id, m.strikes);
     }
 
     /** Nothing of the attempt runs or can come to run: the task may be placed again unless it is done. */
-    private void over(Attempt a) {
+    void over(Attempt a) {
         Machine m = a.machine;
+        m.changed();
         m.attempts.remove(a.task, a);
         if (m.attempts.isEmpty() && !Double.isFinite(m.idleSince)) {
             m.idleSince = loop.now();
@@ -569,9 +599,10 @@
         job.waiting.clear(task.index());
         job.placed.put(task.index(), a);
         m.attempts.put(task, a);
+        m.changed();
         m.idleSince = Double.POSITIVE_INFINITY;
         useImage(m, a);
-        toCall.add(m);
+        calls.due(m);
     }
 
     public void stop(TaskId task, String machineId, String why) {
@@ -585,17 +616,18 @@
 
     private void stop(Attempt a, double graceS, String why) {
         if (!a.stopping) {
-            LOG.info("stopping task {} on {}: {}", a.task, a.machine.id, why);
+            LOG.debug("stopping task {} on {}: {}", a.task, a.machine.id, why);
         } else if (graceS >= a.graceS) {
             return;
         }
         a.stopping = true;
+        a.machine.changed();
         a.graceS = graceS;
         a.stopSentAt = Double.NEGATIVE_INFINITY;
         if (a.state == Attempt.State.SENDING && !a.sent) {
             over(a);
         } else {
-            toCall.add(a.machine);
+            calls.due(a.machine);
         }
     }
 
@@ -609,7 +641,7 @@
             if (a.job == null || a.stopping) {
                 continue;
             }
-            double left = remainingS(a, now);
+            double left = runs.remainingS(a, now);
             if (a.job.saves() ? left > noticeS / 2 : left > noticeS * 3 / 2) {
                 stop(a.task, m.id, "the machine is to be taken back");
             }
@@ -625,7 +657,7 @@
         for (Attempt a : m.attempts.values()) {
             boolean free = a.job.saves() && !a.job.oneZone() && !a.job.spread();
             if (!free || a.stopping || a.state != Attempt.State.RUNNING || now < a.runningSince + leastRunS
-                    || remainingS(a, now) < 4 * a.job.saveS()) {
+                    || runs.remainingS(a, now) < 4 * a.job.saveS()) {
                 return false;
             }
         }
@@ -640,329 +672,71 @@
         }
     }
 
-    private boolean needsCall(Machine m) {
-        if (!m.settled) {
-            return true;
-        }
-        for (Attempt a : m.attempts.values()) {
-            if (a.state == Attempt.State.SENDING && a.inFlight == 0 || dueStop(a)) {
-                return true;
-            }
-        }
-        return false;
+    public Arrivals arrivals() {
+        return arrivals;
+    }
+
+    double remainingS(Attempt a, double now) {
+        return runs.remainingS(a, now);
     }
 
-    private boolean dueStop(Attempt a) {
-        return a.stopping && loop.now() >= a.stopSentAt + settings.reportS() * 2 / 3;
+    public double lastsS(JobSpec job) {
+        return runs.lastsS(job);
     }
 
+    // Calls
+
     /** A direct call that is ready to go, with the launches in it. */
     public record Call(Machine machine, long session, List<Command> commands, List<Attempt> launches) {}
 
     /** What to send to a machine now, or null. */
     public Call call(Machine m) {
-        double now = loop.now();
-        if (machines.get(m.id) != m || m.calling || !m.up || m.address == null || now < m.callAfter || !needsCall(m)) {
-            return null;
-        }
-        List<Command> commands = new ArrayList<>();
-        List<Attempt> launches = new ArrayList<>();
-        if (m.settled) {
-            commands(m, commands, launches, true);
-        }
-        for (Attempt a : launches) {
-            a.sent = true;
-            a.inFlight++;
-        }
-        m.calling = true;
-        return new Call(m, m.session, commands, launches);
+        return calls.call(m);
     }
 
     /** What became of a call: 200, 409, not sent, or anything else, which may yet be carried out. */
     public void called(Call call, boolean executed, boolean surelyNot, Report report) {
-        Machine m = call.machine;
-        m.calling = false;
-        for (Attempt a : call.launches) {
-            a.inFlight--;
-            if (!executed && !surelyNot) {
-                a.loose = true;
-            }
-            if (surelyNot && a.state == Attempt.State.SENDING && !a.launchMayArrive()) {
-                a.sent = false;
-                if (a.stopping && m.attempts.get(a.task) == a) {
-                    over(a);
-                }
-            }
-        }
-        if (report != null) {
-            answered(m, report);
-        }
-        if (executed || surelyNot && report != null) {
-            m.failedCalls = 0;
-        } else {
-            m.failedCalls = Math.min(m.failedCalls + 1, 5);
-            m.callAfter = loop.now() + settings.reportS() / 6 * m.failedCalls;
-        }
-        for (Attempt a : call.launches) {
-            // Executed, or refused, and yet the worker does not show it: it is not there.
-            if (report != null && a.state == Attempt.State.SENDING && !a.launchMayArrive()
-                    && m.attempts.get(a.task) == a) {
-                over(a);
-            }
-        }
-        if (machines.get(m.id) == m && needsCall(m)) {
-            toCall.add(m);
-        }
+        calls.called(call, executed, surelyNot, report);
     }
 
     /** Machines whose calls failed and may be tried again. */
     public void retryCalls() {
-        for (Machine m : machines.values()) {
-            if (m.up && !m.calling && needsCall(m)) {
-                toCall.add(m);
-            }
-        }
+        calls.retry();
     }
 
     /** Commands for the answer to a report: stops, what may be forgotten, and launches whose delivery is in doubt. */
     public List<Command> responseCommands(Machine m) {
-        List<Command> commands = new ArrayList<>();
-        if (m.settled) {
-            commands(m, commands, new ArrayList<>(), false);
-        }
-        return commands;
+        return calls.responseCommands(m);
     }
 
-    private void commands(Machine m, List<Command> commands, List<Attempt> launches, boolean direct) {
-        for (Attempt a : m.attempts.values()) {
-            if (commands.size() >= MOST_COMMANDS) {
-                return;
-            }
-            boolean sending = a.state == Attempt.State.SENDING;
-            if (sending && !direct && m.failedCalls > 0 && a.inFlight == 0) {
-                // The worker reaches us, perhaps through a peer, and we do not reach it: its reports take launches.
-                a.sent = true;
-                a.loose = true;
-            }
-            if (sending && (direct ? a.inFlight == 0 : a.loose)) {
-                // A launch that is in doubt is repeated until the worker shows it, also when it is not wanted any
-                // more: a worker that knows the attempt is over will not start it when the lost copy arrives.
-                commands.add(Command.start(a.task, a.number));
-                launches.add(a);
-                if (a.stopping) {
-                    commands.add(Command.stop(a.task, a.number, 0));
-                }
-            } else if (!sending && dueStop(a)) {
-                commands.add(Command.stop(a.task, a.number, a.graceS));
-                a.stopSentAt = loop.now();
-            }
-        }
-        for (Attempt a : m.exited.values()) {
-            if (commands.size() >= MOST_COMMANDS) {
-                return;
-            }
-            Job job = jobs.get(a.task.job());
-            if (!a.launchMayArrive() && (!a.done || job == null || job.saved.get(a.task.index()))) {
-                commands.add(Command.forget(a.task, a.number));
-            }
-        }
-    }
+    // Views
 
-    /** One line for the log: how much there is, and how much of it is used. */
-    public String summary() {
-        int up = 0;
-        int coming = 0;
-        int fetching = 0;
-        double total = 0;
-        double used = 0;
-        double running = 0;
-        for (Machine m : machines.values()) {
-            MachineType type = typeOf(m);
-            if (!m.up || type == null) {
-                coming++;
-                continue;
-            }
-            up++;
-            total += type.cpus();
-            for (Attempt a : m.attempts.values()) {
-                double cpus = a.job == null ? 0 : a.job.cpus();
-                used += cpus;
-                running += a.state == Attempt.State.RUNNING ? cpus : 0;
-                fetching += a.state == Attempt.State.FETCHING ? 1 : 0;
-            }
-        }
-        int waiting = 0;
-        for (Job job : jobs.values()) {
-            waiting += job.waiting.cardinality();
-        }
-        return machines.size() + " machines (" + up + " up, " + coming + " coming or lost, " + unsettled.size()
-                + " unaccounted), CPUs " + Math.round(total) + " up, " + Math.round(used) + " taken, "
-                + Math.round(running) + " running; " + jobs.size() + " open jobs, " + waiting + " tasks waiting, "
-                + fetching + " fetching";
+    /** Machines of earlier terms that are not accounted for may still hold any task that is older than this term. */
+    public boolean mayBeUnseen(Job job) {
+        return !unsettled.isEmpty() && job.version < termVersion;
     }
 
-    public Arrivals arrivals() {
-        return arrivals;
+    public String summary() {
+        return views.summary();
     }
 
-    /** What is free on a machine now, or null when nothing may be put there. */
     public Room freeOn(Machine m) {
-        MachineType type = typeOf(m);
-        if (type == null || !m.usable(loop.now())) {
-            return null;
-        }
-        Room room = Room.of(type);
-        for (Attempt a : m.attempts.values()) {
-            room.take(a.job);
-        }
-        return room;
+        return views.freeOn(m);
     }
 
-    /** What the fleet may count on: machines that are up or coming, and when their room becomes free. */
     public List<Forecast.Line> lines(double lateBoot) {
-        double now = loop.now();
-        List<Forecast.Line> lines = new ArrayList<>();
-        for (Machine m : machines.values()) {
-            MachineType type = typeOf(m);
-            if (type == null || m.failed || m.returning || m.noticed() || m.distrusted()) {
-                continue;
-            }
-            Kind kind = m.kind();
-            Room room = Room.of(type);
-            if (m.up) {
-                Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
-                for (Attempt a : m.attempts.values()) {
-                    if (a.job != null) {
-                        room.take(a.job);
-                        line.running(a.job, now + remainingS(a, now));
-                    }
-                }
-                lines.add(line);
-            } else if (!m.everUp() && now < m.rentedAt + type.bootS() * lateBoot) {
-                lines.add(new Forecast.Line(kind, room, Math.max(now, m.rentedAt + type.bootS())));
-            }
-        }
-        return lines;
-    }
-
-    private double remainingS(Attempt a, double now) {
-        double whole = lastsS(a.job);
-        double spent = Double.isNaN(a.runningSince) ? 0 : now - a.runningSince;
-        // A task that outlasts its estimate is as likely as not to go on for a good part of it.
-        return Math.max(whole - spent, whole / 5);
-    }
-
-    /** How long a task of a job is expected to run: the owner's estimate, corrected by what its class was seen to take. */
-    public double lastsS(JobSpec job) {
-        double[] seen = seenRuns.get(job.jobClass());
-        return job.estimateS() * (seen == null ? 1 : (seen[0] + PRIOR_RUNS_S) / (seen[1] + PRIOR_RUNS_S));
-    }
-
-    private void learn(Attempt a) {
-        if (a.job != null && !Double.isNaN(a.runningSince) && a.fromStart) {
-            double[] seen = seenRuns.computeIfAbsent(a.job.jobClass(), c -> new double[2]);
-            seen[0] += loop.now() - a.runningSince;
-            seen[1] += a.job.estimateS();
-        }
-    }
-
-    // Views for the cycle
-
-    /** Machines of earlier terms that are not accounted for may still hold any task that is older than this term. */
-    public boolean mayBeUnseen(Job job) {
-        return !unsettled.isEmpty() && job.version < termVersion;
+        return views.lines(lateBoot);
     }
 
     public List<Host> hosts() {
-        double now = loop.now();
-        List<Host> hosts = new ArrayList<>();
-        for (Machine m : machines.values()) {
-            MachineType type = typeOf(m);
-            if (type == null || !m.usable(now)) {
-                continue;
-            }
-            Host host = new Host(m.id, m.kind(), Room.of(type), m.barred(), m.images());
-            for (Attempt a : m.attempts.values()) {
-                host.add(new Slot(a.task, a.job, a.stopping, lostS(a, now)));
-            }
-            hosts.add(host);
-        }
-        return hosts;
-    }
-
-    private static double lostS(Attempt a, double now) {
-        if (Double.isNaN(a.runningSince)) {
-            return 0;
-        }
-        return a.job.saves() ? a.job.saveS() : now - a.runningSince;
+        return views.hosts();
     }
 
     public List<Pending> pending() {
-        double now = loop.now();
-        List<Pending> all = new ArrayList<>();
-        for (Job job : jobs.values()) {
-            if (job.waiting.isEmpty() || now < job.backOffUntil || mayBeUnseen(job)) {
-                continue;
-            }
-            List<Integer> tasks = new ArrayList<>();
-            for (int i = job.waiting.nextSetBit(0); i >= 0; i = job.waiting.nextSetBit(i + 1)) {
-                tasks.add(i);
-            }
-            Map<String, Integer> perZone = new HashMap<>();
-            for (Attempt a : job.placed.values()) {
-                perZone.merge(a.machine.zone, 1, Integer::sum);
-            }
-            all.add(new Pending(job.spec, job.version, tasks, perZone));
-        }
-        return all;
+        return views.pending();
     }
 
-    /** Teams with what their tasks use or may be using; {@code weights} are the operators' own. */
     public Map<String, Team> teams(Tuning tuning, Map<String, Double> weights) {
-        Map<String, Team> teams = new HashMap<>();
-        for (Settings.Team t : settings.teams().values()) {
-            double guarantee = t.cpus() + t.gpus();
-            teams.put(t.name(), new Team(t, weights.getOrDefault(t.name(), guarantee > 0 ? guarantee : 1.0)));
-        }
-        for (Machine m : machines.values()) {
-            for (Attempt a : m.attempts.values()) {
-                Team team = a.job == null ? null : teams.get(a.job.team());
-                if (team != null) {
-                    team.use(a.job, tuning);
-                }
-            }
-        }
-        if (!unsettled.isEmpty()) {
-            countUnseen(teams);
-        }
-        return teams;
-    }
-
-    /** What machines that are not accounted for can hold, as far as the open jobs of earlier terms could fill them. */
-    private void countUnseen(Map<String, Team> teams) {
-        double cpus = 0;
-        double gpus = 0;
-        for (Machine m : unsettled) {
-            MachineType type = typeOf(m);
-            for (MachineType t : type != null ? List.of(type) : List.copyOf(types.values())) {
-                cpus += t.cpus();
-                gpus += t.gpus();
-            }
-        }
-        Map<String, double[]> unseen = new HashMap<>();
-        for (Job job : jobs.values()) {
-            if (mayBeUnseen(job)) {
-                double[] sum = unseen.computeIfAbsent(job.spec.team(), t -> new double[2]);
-                int waiting = job.waiting.cardinality();
-                sum[0] += waiting * job.spec.cpus();
-                sum[1] += waiting * job.spec.gpus();
-            }
-        }
-        for (var e : unseen.entrySet()) {
-            Team team = teams.get(e.getKey());
-            if (team != null) {
-                team.maybe(Math.min(cpus, e.getValue()[0]), Math.min(gpus, e.getValue()[1]));
-            }
-        }
+        return views.teams(tuning, weights);
     }
 }
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -1,18 +1,20 @@
 package org.saffronshore.cluster;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.config.Settings.Address;
 import org.saffronshore.fleet.Kind;
+import org.saffronshore.scheduling.Host;
+import org.saffronshore.wire.Report;
 import org.saffronshore.wire.TaskId;
 
 /** A rented machine as the leader knows it. */
 public final class Machine {
     final String id;
+    private final double silentAfterS;
     String type;
     String zone;
     boolean spot;
@@ -48,10 +50,16 @@
     final Map<TaskId, Attempt> attempts = new LinkedHashMap<>();
     /** Attempts that are over but still in the worker's reports. */
     final Map<TaskId, Attempt> exited = new LinkedHashMap<>();
+    /** What the cycle sees of it; null when something that it shows has changed. */
+    Host host;
+    /** The tasks of the last report, as long as nothing else has happened to them since. */
+    List<Report.Task> applied;
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
-    Machine(String id, double now) {
+    /** @param silentAfterS after this time without a report it gets no more work */
+    Machine(String id, double silentAfterS, double now) {
         this.id = id;
+        this.silentAfterS = silentAfterS;
         this.knownSince = now;
         this.rentedAt = now;
         this.idleSince = now;
@@ -141,7 +149,12 @@
     /** Whether new tasks may be put here. */
     public boolean usable(double now) {
         return up && settled && inRoster && !returning && !draining && !failed && !noticed() && !distrusted() && now >= suspendedUntil
-                && !unknownLoad();
+                && !silent(now) && !unknownLoad();
+    }
+
+    /** Whether reports that were due have not come: it may hang, or be cut off. */
+    boolean silent(double now) {
+        return now > heardAt + silentAfterS;
     }
 
     private boolean unknownLoad() {
@@ -153,11 +166,9 @@
         return false;
     }
 
-    /** Tasks that may not be put here, since a trace of them is still on the machine. */
-    Set<TaskId> barred() {
-        Set<TaskId> barred = new HashSet<>(exited.keySet());
-        barred.addAll(attempts.keySet());
-        return barred;
+    /** Whether a task may not be put here, since a trace of it is still on the machine. */
+    boolean barred(TaskId task) {
+        return attempts.containsKey(task) || exited.containsKey(task);
     }
 
     Set<String> images() {
@@ -184,6 +195,12 @@
         }
     }
 
+    /** What was known of its tasks has changed other than by a report. */
+    void changed() {
+        host = null;
+        applied = null;
+    }
+
     List<Attempt> allAttempts() {
         return new ArrayList<>(attempts.values());
     }
--- /dev/null
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -0,0 +1,191 @@
+package org.saffronshore.cluster;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.saffronshore.config.Settings;
+import org.saffronshore.fleet.Forecast;
+import org.saffronshore.fleet.Kind;
+import org.saffronshore.http.Loop;
+import org.saffronshore.scheduling.Host;
+import org.saffronshore.scheduling.Pending;
+import org.saffronshore.scheduling.Room;
+import org.saffronshore.scheduling.Slot;
+import org.saffronshore.scheduling.Team;
+import org.saffronshore.scheduling.Tuning;
+import org.saffronshore.wire.MachineType;
+
+/** The cluster as the cycle and the fleet look at it. Reads only. */
+final class Views {
+    private final Cluster cluster;
+    private final Loop loop;
+    private final Settings settings;
+
+    Views(Cluster cluster, Loop loop, Settings settings) {
+        this.cluster = cluster;
+        this.loop = loop;
+        this.settings = settings;
+    }
+
+    /** One line for the log: how much there is, and how much of it is used. */
+    String summary() {
+        int up = 0;
+        int coming = 0;
+        int fetching = 0;
+        double total = 0;
+        double used = 0;
+        double running = 0;
+        for (Machine m : cluster.machines()) {
+            MachineType type = cluster.typeOf(m);
+            if (!m.up || type == null) {
+                coming++;
+                continue;
+            }
+            up++;
+            total += type.cpus();
+            for (Attempt a : m.attempts.values()) {
+                double cpus = a.job == null ? 0 : a.job.cpus();
+                used += cpus;
+                running += a.state == Attempt.State.RUNNING ? cpus : 0;
+                fetching += a.state == Attempt.State.FETCHING ? 1 : 0;
+            }
+        }
+        int waiting = 0;
+        for (Job job : cluster.jobs()) {
+            waiting += job.waiting.cardinality();
+        }
+        return cluster.machines().size() + " machines (" + up + " up, " + coming + " coming or lost, " + cluster.unsettledCount()
+                + " unaccounted), CPUs " + Math.round(total) + " up, " + Math.round(used) + " taken, "
+                + Math.round(running) + " running; " + cluster.jobs().size() + " open jobs, " + waiting + " tasks waiting, "
+                + fetching + " fetching";
+    }
+
+    /** What is free on a machine now, or null when nothing may be put there. */
+    Room freeOn(Machine m) {
+        MachineType type = cluster.typeOf(m);
+        if (type == null || !m.usable(loop.now())) {
+            return null;
+        }
+        Room room = Room.of(type);
+        for (Attempt a : m.attempts.values()) {
+            room.take(a.job);
+        }
+        return room;
+    }
+
+    /** What the fleet may count on: machines that are up or coming, and when their room becomes free. */
+    List<Forecast.Line> lines(double lateBoot) {
+        double now = loop.now();
+        List<Forecast.Line> lines = new ArrayList<>();
+        for (Machine m : cluster.machines()) {
+            MachineType type = cluster.typeOf(m);
+            if (type == null || m.failed || m.returning || m.noticed() || m.distrusted()) {
+                continue;
+            }
+            Kind kind = m.kind();
+            Room room = Room.of(type);
+            if (m.up) {
+                Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
+                for (Attempt a : m.attempts.values()) {
+                    if (a.job != null) {
+                        room.take(a.job);
+                        line.running(a.job, now + cluster.remainingS(a, now));
+                    }
+                }
+                lines.add(line);
+            } else if (!m.everUp() && now < m.rentedAt + type.bootS() * lateBoot) {
+                lines.add(new Forecast.Line(kind, room, Math.max(now, m.rentedAt + type.bootS())));
+            }
+        }
+        return lines;
+    }
+
+    /** Machines that can take tasks. What did not change since the last time is not made anew. */
+    List<Host> hosts() {
+        double now = loop.now();
+        List<Host> hosts = new ArrayList<>(cluster.machines().size());
+        for (Machine m : cluster.machines()) {
+            MachineType type = cluster.typeOf(m);
+            if (type == null || !m.usable(now)) {
+                continue;
+            }
+            if (m.host == null || m.host.touched()) {
+                m.host = new Host(m.id, m.kind(), Room.of(type), m::barred, m.images());
+                for (Attempt a : m.attempts.values()) {
+                    m.host.add(new Slot(a.task, a.job, a.stopping, a.runningSince));
+                }
+            }
+            hosts.add(m.host);
+        }
+        return hosts;
+    }
+
+    List<Pending> pending() {
+        double now = loop.now();
+        List<Pending> all = new ArrayList<>();
+        for (Job job : cluster.jobs()) {
+            if (job.waiting.isEmpty() || now < job.backOffUntil || cluster.mayBeUnseen(job)) {
+                continue;
+            }
+            Map<String, Integer> perZone = Map.of();
+            if (Pending.zonesMatter(job.spec)) {
+                perZone = new HashMap<>();
+                for (Attempt a : job.placed.values()) {
+                    perZone.merge(a.machine.zone, 1, Integer::sum);
+                }
+            }
+            all.add(new Pending(job.spec, job.version, job.waiting, perZone));
+        }
+        return all;
+    }
+
+    /** Teams with what their tasks use or may be using; {@code weights} are the operators' own. */
+    Map<String, Team> teams(Tuning tuning, Map<String, Double> weights) {
+        Map<String, Team> teams = new HashMap<>();
+        for (Settings.Team t : settings.teams().values()) {
+            double guarantee = t.cpus() + t.gpus();
+            teams.put(t.name(), new Team(t, weights.getOrDefault(t.name(), guarantee > 0 ? guarantee : 1.0)));
+        }
+        for (Machine m : cluster.machines()) {
+            for (Attempt a : m.attempts.values()) {
+                Team team = a.job == null ? null : teams.get(a.job.team());
+                if (team != null) {
+                    team.use(a.job, tuning);
+                }
+            }
+        }
+        if (cluster.unsettledCount() > 0) {
+            countUnseen(teams);
+        }
+        return teams;
+    }
+
+    /** What machines that are not accounted for can hold, as far as the open jobs of earlier terms could fill them. */
+    private void countUnseen(Map<String, Team> teams) {
+        double cpus = 0;
+        double gpus = 0;
+        for (Machine m : cluster.unsettled()) {
+            MachineType type = cluster.typeOf(m);
+            for (MachineType t : type != null ? List.of(type) : List.copyOf(cluster.types().values())) {
+                cpus += t.cpus();
+                gpus += t.gpus();
+            }
+        }
+        Map<String, double[]> unseen = new HashMap<>();
+        for (Job job : cluster.jobs()) {
+            if (cluster.mayBeUnseen(job)) {
+                double[] sum = unseen.computeIfAbsent(job.spec.team(), t -> new double[2]);
+                int waiting = job.waiting.cardinality();
+                sum[0] += waiting * job.spec.cpus();
+                sum[1] += waiting * job.spec.gpus();
+            }
+        }
+        for (var e : unseen.entrySet()) {
+            Team team = teams.get(e.getKey());
+            if (team != null) {
+                team.maybe(Math.min(cpus, e.getValue()[0]), Math.min(gpus, e.getValue()[1]));
+            }
+        }
+    }
+}
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -43,6 +43,12 @@
     /** Room for this many typical jobs of each class is kept although it is idle. */
     private static final double SPARE_JOBS = 1;
 
+    /** This share of the machines may be emptied at the same time. */
+    private static final double EMPTIED_SHARE = 0.02;
+
+    /** Working out what to rent may take this share of the time. */
+    private static final double RENT_SHARE = 0.1;
+
     /** A start counts for little when the task is stopped again sooner than this. */
     private static final double LEAST_RUN_S = 30;
 
@@ -64,6 +70,7 @@
     private final Map<Kind, Refusal> refusals = new HashMap<>();
     private final Set<String> returning = new HashSet<>();
     private List<Plan.Unmet> unmet = List.of();
+    private double rentAgainAt = Double.NEGATIVE_INFINITY;
     private boolean listBusy;
     private boolean listed;
     private long lastName;
@@ -102,50 +109,60 @@
     }
 
     /**
-     * Empties the least used machine whose tasks all save their work, when the others have room for them: what a
-     * machine half empty costs is more than what it takes to save and go on elsewhere. One machine at a time.
+     * Empties the least used machines whose tasks all save their work, when the others have room for them: what a
+     * machine half empty costs is more than what it takes to save and go on elsewhere. A few machines at a time.
      */
     private void consolidate() {
         double now = loop.now();
         List<Machine> leastFirst = new ArrayList<>();
+        Map<Machine, Room> rooms = new LinkedHashMap<>();
+        int draining = 0;
         for (Machine m : cluster.machines()) {
             if (m.draining()) {
-                return;
+                draining++;
+                continue;
             }
-            if (cluster.movable(m, LEAST_RUN_S) && now > m.rentedAt() + LEAST_CHARGED_S) {
-                leastFirst.add(m);
+            Room room = m.empty() ? null : cluster.freeOn(m);
+            if (room != null) {
+                rooms.put(m, room);
+                if (cluster.movable(m, LEAST_RUN_S) && now > m.rentedAt() + LEAST_CHARGED_S) {
+                    leastFirst.add(m);
+                }
             }
         }
+        int most = Math.max(1, (int) (rooms.size() * EMPTIED_SHARE)) - draining;
         leastFirst.sort(Comparator.comparing(Machine::spot).thenComparingDouble(Machine::usedCpus));
-        for (Machine m : leastFirst) {
-            if (fitElsewhere(m)) {
-                LOG.info("emptying machine {}: {} tasks of it fit elsewhere", m.id(), m.count());
+        for (int i = 0; i < leastFirst.size() && i < 4 * most && most > 0; i++) {
+            Machine m = leastFirst.get(i);
+            if (fitElsewhere(m, rooms)) {
+                LOG.debug("emptying machine {}: {} tasks of it fit elsewhere", m.id(), m.count());
+                rooms.remove(m);
                 cluster.empty(m);
-                return;
+                most--;
             }
         }
     }
 
-    private boolean fitElsewhere(Machine m) {
-        Map<Machine, Room> rooms = new LinkedHashMap<>();
-        for (Machine other : cluster.machines()) {
-            boolean worse = m.spot() && !other.spot();
-            Room room = other == m || other.empty() || worse ? null : cluster.freeOn(other);
-            if (room != null) {
-                rooms.put(other, room);
-            }
-        }
+    /** Whether the machine's tasks fit on others; if so, their room is taken. */
+    private static boolean fitElsewhere(Machine m, Map<Machine, Room> rooms) {
+        List<Runnable> undo = new ArrayList<>();
         for (Attempt a : m.attempts()) {
-            boolean found = false;
+            Room found = null;
             for (var e : rooms.entrySet()) {
-                if (!found && e.getKey().kind().allows(a.job()) && e.getValue().fits(a.job())) {
-                    e.getValue().take(a.job());
-                    found = true;
+                Machine other = e.getKey();
+                boolean worse = m.spot() && !other.spot();
+                if (other != m && !worse && e.getValue().fits(a.job()) && other.kind().allows(a.job())) {
+                    found = e.getValue();
+                    break;
                 }
             }
-            if (!found) {
+            if (found == null) {
+                undo.forEach(Runnable::run);
                 return false;
             }
+            Room room = found;
+            room.take(a.job());
+            undo.add(() -> room.give(a.job()));
         }
         return true;
     }
@@ -192,10 +209,10 @@
     }
 
     private void rent() {
-        if (!mayRent() || unmet.isEmpty()) {
+        double now = loop.now();
+        if (!mayRent() || unmet.isEmpty() || now < rentAgainAt || orders.size() >= mostOrders()) {
             return;
         }
-        double now = loop.now();
         Map<String, Integer> perZone = new HashMap<>();
         for (Machine m : cluster.machines()) {
             if (m.zone() != null && !m.failed() && !m.returning()) {
@@ -212,7 +229,14 @@
         }
         List<Plan.Unmet> late = Forecast.late(lines, unmet, cluster::lastsS, job -> now + boot(job));
         FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
-                .forEach((kind, count) -> order(kind, Math.min(count, CloudClient.MOST_RENTED)));
+                .forEach(this::order);
+        double took = loop.now() - now;
+        rentAgainAt = loop.now() + Math.max(settings.reportS() / 12, took / RENT_SHARE);
+    }
+
+    /** What the cloud takes in about two seconds: more would only wait here, and be out of date by then. */
+    private int mostOrders() {
+        return (int) Math.max(2, 2 * settings.cloudRps());
     }
 
     /** How long the quickest machine for a job takes to be up. */
@@ -227,9 +251,12 @@
     }
 
     private void order(Kind kind, int count) {
-        Order order = new Order("r-" + term + "-" + ++lastName, kind, count, loop.now());
-        orders.put(order.name, order);
-        ask(order);
+        for (int left = count; left > 0 && orders.size() < mostOrders(); left -= CloudClient.MOST_RENTED) {
+            Order order = new Order("r-" + term + "-" + ++lastName, kind, Math.min(left, CloudClient.MOST_RENTED),
+                    loop.now());
+            orders.put(order.name, order);
+            ask(order);
+        }
     }
 
     private void ask(Order order) {
@@ -256,7 +283,7 @@
     }
 
     private void rented(Order order, JsonNode names) {
-        LOG.info("rented {} of {} {}: tasks wait for room", names.size(), order.count, order.kind);
+        LOG.debug("rented {} of {} {}: tasks wait for room", names.size(), order.count, order.kind);
         metrics.add(Metrics.Count.RENTED, names.size());
         for (JsonNode name : names) {
             cluster.rented(name.asText(), order.kind.type(), order.kind.zone(), order.kind.spot(), order.askedAt);
@@ -278,7 +305,7 @@
 
     // Returning
 
-    private String reason(Machine m, double now) {
+    private String reason(Machine m, double now, Spare spare) {
         MachineType type = m.type() == null ? null : cluster.types().get(m.type());
         double boot = type == null ? settings.leaseS() : type.bootS();
         if (m.failed()) {
@@ -305,32 +332,42 @@
         }
         double rebuild = boot + (type == null || type.fetchGbPerS() <= 0 ? 0 : m.cachedGb() / type.fetchGbPerS());
         boolean idle = now > m.idleSince() + IDLE_KEPT * rebuild && now > m.rentedAt() + LEAST_CHARGED_S;
-        return idle && !spare(m, now, boot) ? "it is idle" : null;
+        return idle && !spare.needs(m) ? "it is idle" : null;
     }
 
-    /** Whether a typical job of some class would find no room without this machine. */
-    private boolean spare(Machine m, double now, double boot) {
-        Room room = cluster.freeOn(m);
-        if (room == null) {
-            return false;
-        }
-        Kind kind = m.kind();
-        for (Arrivals.Expected e : cluster.arrivals().expected(now, boot / 2)) {
-            if (!kind.allows(e.task()) || Arrivals.fitting(room, e.task()) == 0) {
-                continue;
-            }
-            double others = 0;
-            for (Machine other : cluster.machines()) {
-                Room free = other == m || returning.contains(other.id()) ? null : cluster.freeOn(other);
-                if (free != null && other.kind().allows(e.task())) {
-                    others += Arrivals.fitting(free, e.task());
+    /** Room that is kept although it is idle: a typical job of each class that still comes should find some. */
+    private final class Spare {
+        private final Map<Machine, Room> rooms = new HashMap<>();
+        private final Map<Arrivals.Expected, Double> fitting = new LinkedHashMap<>();
+
+        Spare(double now) {
+            double boot = cluster.types().values().stream().mapToDouble(MachineType::bootS).max()
+                    .orElse(settings.leaseS());
+            cluster.arrivals().expected(now, boot / 2).forEach(e -> fitting.put(e, 0.0));
+            for (Machine m : cluster.machines()) {
+                Room room = returning.contains(m.id()) ? null : cluster.freeOn(m);
+                if (room != null) {
+                    rooms.put(m, room);
+                    fitting.replaceAll((e, sum) -> sum + on(m, e));
                 }
             }
-            if (others < e.tasks() * SPARE_JOBS) {
-                return true;
-            }
         }
-        return false;
+
+        private double on(Machine m, Arrivals.Expected e) {
+            Room room = rooms.get(m);
+            return room == null || !m.kind().allows(e.task()) ? 0 : Arrivals.fitting(room, e.task());
+        }
+
+        /** Whether a typical job of some class would find no room without this machine. */
+        boolean needs(Machine m) {
+            return fitting.entrySet().stream().anyMatch(f -> on(m, f.getKey()) > 0
+                    && f.getValue() - on(m, f.getKey()) < f.getKey().tasks() * SPARE_JOBS);
+        }
+
+        void without(Machine m) {
+            fitting.replaceAll((e, sum) -> sum - on(m, e));
+            rooms.remove(m);
+        }
     }
 
     private void giveBack() {
@@ -338,13 +375,15 @@
         List<String> names = new ArrayList<>();
         List<Machine> dearFirst = new ArrayList<>(cluster.machines());
         dearFirst.sort(Comparator.comparing(Machine::spot));
+        Spare spare = new Spare(now);
         for (Machine m : dearFirst) {
-            String why = returning.contains(m.id()) ? null : reason(m, now);
+            String why = returning.contains(m.id()) ? null : reason(m, now, spare);
             if (why != null && names.size() < CloudClient.MOST_RETURNED) {
-                LOG.info("returning machine {}: {}", m.id(), why);
+                LOG.debug("returning machine {}: {}", m.id(), why);
                 cluster.returning(m);
                 returning.add(m.id());
                 names.add(m.id());
+                spare.without(m);
             }
         }
         if (!names.isEmpty()) {
--- /dev/null
+++ b/src/main/java/org/saffronshore/control/JobFeed.java
@@ -0,0 +1,128 @@
+package org.saffronshore.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.cluster.Cluster;
+import org.saffronshore.cluster.Job;
+import org.saffronshore.config.Settings;
+import org.saffronshore.http.Loop;
+import org.saffronshore.state.Keys;
+import org.saffronshore.state.StateClient;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps one term's cluster in line with the open jobs of the state service. */
+final class JobFeed {
+    private static final Logger LOG = LoggerFactory.getLogger(JobFeed.class);
+
+    private final Loop loop;
+    private final Settings settings;
+    private final StateClient state;
+    private final Leader leader;
+    private final Cluster cluster;
+    private double readAt;
+
+    JobFeed(Node node, Leader leader, Cluster cluster) {
+        this.loop = node.loop();
+        this.settings = node.settings();
+        this.state = node.state();
+        this.leader = leader;
+        this.cluster = cluster;
+        this.readAt = loop.now();
+    }
+
+    /** The last moment whose cancellations are known here. */
+    double readAt() {
+        return readAt;
+    }
+
+    /** Takes the jobs that were open when the term began, and follows what becomes of them. */
+    void begin(StateClient.Listing jobs, Map<String, BitSet> done) {
+        for (StateClient.Entry e : jobs.entries()) {
+            add(e.key(), e.value(), e.version(), done.getOrDefault(Keys.idOf(e.key()), new BitSet()));
+        }
+    }
+
+    private void add(String key, JsonNode record, long version, BitSet done) {
+        try {
+            cluster.addJob(JobSpec.parse(record.get("Spec")), version, Json.count(record, "At", 0), done);
+        } catch (InvalidField e) {
+            LOG.error("the record {} cannot be read: {}", key, e.getMessage());
+        }
+    }
+
+    /** Cancellations are decided by other nodes and become known here: so this must never lag for long. */
+    void watch(long from) {
+        if (leader.ended()) {
+            return;
+        }
+        double askedAt = loop.now();
+        state.watch(Keys.JOBS, from, settings.cancelS() / 20, answer -> {
+            if (leader.ended()) {
+                return;
+            }
+            JsonNode body = answer.ok() ? answer.json() : null;
+            if (body != null && body.path("Events").isArray()) {
+                readAsOf(askedAt);
+                changes(body.get("Events"));
+                watch(Json.count(body, "Ledger", from));
+            } else if (answer.status() == 410) {
+                relist();
+            } else {
+                loop.after(settings.reportS() / 10, () -> watch(from));
+            }
+        });
+    }
+
+    void readAsOf(double askedAt) {
+        readAt = askedAt;
+        leader.cancellationsKnown(readAt);
+    }
+
+    private void changes(JsonNode events) {
+        for (JsonNode e : events) {
+            String set = Json.text(e, "Set");
+            if (set != null) {
+                add(set, e.path("Data"), Json.count(e, "Stamp", 0), new BitSet());
+            } else if (Json.text(e, "Remove") != null) {
+                leader.remove(Keys.idOf(Json.text(e, "Remove")));
+            }
+        }
+        if (!events.isEmpty()) {
+            leader.act();
+        }
+    }
+
+    private void relist() {
+        double askedAt = loop.now();
+        state.list(Keys.JOBS, jobs -> {
+            if (leader.ended()) {
+                return;
+            }
+            if (jobs == null) {
+                loop.after(settings.reportS() / 10, this::relist);
+                return;
+            }
+            Set<String> open = new HashSet<>();
+            for (StateClient.Entry e : jobs.entries()) {
+                open.add(Keys.idOf(e.key()));
+                add(e.key(), e.value(), e.version(), new BitSet());
+            }
+            for (Job job : new ArrayList<>(cluster.jobs())) {
+                if (!open.contains(job.spec().id())) {
+                    leader.remove(job.spec().id());
+                }
+            }
+            readAsOf(askedAt);
+            watch(jobs.revision());
+            leader.act();
+        });
+    }
+}
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -1,6 +1,5 @@
 package org.saffronshore.control;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.IoEventLoopGroup;
 import java.util.Map;
@@ -15,6 +14,7 @@
 import org.saffronshore.http.Loop;
 import org.saffronshore.http.Reply;
 import org.saffronshore.http.Request;
+import org.saffronshore.http.Sockets;
 import org.saffronshore.leadership.Leadership;
 import org.saffronshore.state.JobStore;
 import org.saffronshore.state.Keys;
@@ -60,7 +60,8 @@
         this.leadership = new Leadership(loop, state, settings, random, this, peers);
         this.users = new UserApi(loop, settings, store, metrics, () -> types, this::progress);
         this.admin = new AdminApi(state, metrics, settings.teams().keySet(), this::status);
-        this.admission = new Admission(loop, MOST_QUEUED);
+        this.admission = new Admission(loop, Map.of(Admission.Rank.REPORT, settings.sockets(),
+                Admission.Rank.DECISION, MOST_QUEUED, Admission.Rank.SUBMISSION, MOST_QUEUED));
         this.redirects = new Redirects(loop, settings.reportS());
         metrics.gauge("leading", () -> leadership.acting() ? 1 : 0);
         metrics.gauge("term", leadership::term);
@@ -119,8 +120,9 @@
 
     /** Opens both addresses. Users and workers share one, peers and operators the other. */
     public void serve(IoEventLoopGroup group) throws InterruptedException {
-        new HttpServer(this::handle, Math.max(8, settings.sockets() * 3 / 5)).start(group, settings.listen());
-        new HttpServer(this::handlePeer, Math.max(8, settings.sockets() / 10)).start(group, settings.peerListen());
+        int sockets = settings.sockets();
+        new HttpServer(this::handle, new Sockets(Math.max(8, sockets * 3 / 4))).start(group, settings.listen());
+        new HttpServer(this::handlePeer, new Sockets(Math.max(8, sockets / 20))).start(group, settings.peerListen());
     }
 
     private void watchLoop() {
@@ -159,7 +161,11 @@
     private void on(String method, Request request, Reply reply, Admission.Rank rank, Runnable work) {
         if (!request.is(method)) {
             reply.error(405, method + " only");
-        } else if (!admission.offer(rank, work)) {
+        } else if (!admission.offer(rank, () -> {
+            if (reply.wanted()) {
+                work.run();
+            }
+        })) {
             users.busy(reply);
         }
     }
@@ -220,10 +226,10 @@
         if (report == null) {
             return;
         }
-        ObjectNode answer = leader == null ? null : leader.report(report);
+        byte[] answer = leader == null ? null : leader.report(report);
         if (answer != null) {
             metrics.took(Metrics.Latency.REPORT, loop.now() - began);
-            reply.json(200, answer);
+            reply.send(200, Reply.JSON, answer, 0);
             return;
         }
         String to = leadership.leaderNode();
@@ -234,7 +240,7 @@
                 } else {
                     metrics.add(Metrics.Count.RELAYED, 1);
                     redirects.relayed(report.machine(), to);
-                    reply.json(200, relayed);
+                    reply.send(200, Reply.JSON, relayed, 0);
                 }
             });
         } else {
@@ -253,11 +259,7 @@
 
     private static Report parsed(Request request, Reply reply) {
         try {
-            JsonNode body = request.json();
-            if (body == null) {
-                throw new InvalidField("body", "is not JSON");
-            }
-            return Report.parse(body);
+            return Report.parse(request.body());
         } catch (InvalidField e) {
             LOG.warn("a worker's report is malformed: {}", e.getMessage());
             reply.error(400, e.getMessage());
@@ -266,7 +268,7 @@
     }
 
     /** The answer to a report that a peer relays, or null when this node cannot answer for the controllers. */
-    ObjectNode reportAnswer(Request request, Reply reply) {
+    byte[] reportAnswer(Request request, Reply reply) {
         Report report = parsed(request, reply);
         return report == null || leader == null ? null : leader.report(report);
     }
@@ -286,6 +288,7 @@
     @Override
     public void elected(long term, long keyVersion) {
         metrics.add(Metrics.Count.TERMS, 1);
+        state.leading(true);
         leader = new Leader(this, term, keyVersion);
         leader.cluster().types(types);
         leader.start();
@@ -293,6 +296,7 @@
 
     @Override
     public void deposed(String why) {
+        state.leading(false);
         if (leader != null) {
             leader.end();
             leader = null;
--- /dev/null
+++ b/src/main/java/org/saffronshore/control/Pages.java
@@ -0,0 +1,199 @@
+package org.saffronshore.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.saffronshore.http.Answer;
+import org.saffronshore.state.StateClient;
+import org.saffronshore.state.Txn;
+import org.saffronshore.wire.Json;
+
+/**
+ * Many small records in few keys of the state service, where every key that is written counts against the budget
+ * of all nodes. One leader owns them: it reads them when its term begins, and its writes are guarded by its key.
+ */
+final class Pages {
+    /** What an entry takes beside its name and its value: quotes, a colon and a comma. */
+    private static final int MARKS = 4;
+
+    private static final class Page {
+        final String key;
+        final Map<String, JsonNode> entries = new LinkedHashMap<>();
+        int bytes;
+        boolean dirty;
+        /** Version of the key; 0 where there is none. */
+        long version;
+        /** Its version is being asked for, since a write of unknown outcome turned out to have been carried out. */
+        boolean asking;
+
+        Page(String key) {
+            this.key = key;
+        }
+    }
+
+    private final String prefix;
+    private final int mostBytes;
+    private final Map<Integer, Page> pages = new TreeMap<>();
+    private final Map<String, Page> byName = new LinkedHashMap<>();
+
+    /** @param mostBytes how long a page may become; one entry alone may be longer */
+    Pages(String prefix, int mostBytes) {
+        this.prefix = prefix;
+        this.mostBytes = mostBytes;
+    }
+
+    void read(List<StateClient.Entry> stored, BiConsumer<String, JsonNode> each) {
+        for (StateClient.Entry e : stored) {
+            int number;
+            try {
+                number = Integer.parseInt(e.key().substring(prefix.length()));
+            } catch (NumberFormatException ex) {
+                continue;
+            }
+            Page page = new Page(e.key());
+            page.version = e.version();
+            pages.put(number, page);
+            e.value().fields().forEachRemaining(f -> {
+                add(page, f.getKey(), f.getValue());
+                each.accept(f.getKey(), f.getValue());
+            });
+        }
+    }
+
+    private static int size(String name, JsonNode value) {
+        return name.length() + MARKS + (value.isTextual() ? value.textValue().length() + 2 : value.toString().length());
+    }
+
+    private void add(Page page, String name, JsonNode value) {
+        page.entries.put(name, value);
+        page.bytes += size(name, value);
+        byName.put(name, page);
+    }
+
+    void put(String name, JsonNode value) {
+        int size = size(name, value);
+        Page page = byName.get(name);
+        if (page != null) {
+            remove(name);
+            if (page.bytes + size <= mostBytes) {
+                add(page, name, value);
+                return;
+            }
+        }
+        page = withRoom(size);
+        add(page, name, value);
+        page.dirty = true;
+    }
+
+    private Page withRoom(int size) {
+        int free = 0;
+        for (Map.Entry<Integer, Page> e : pages.entrySet()) {
+            Page page = e.getValue();
+            if (page.entries.isEmpty() || page.bytes + size <= mostBytes) {
+                return page;
+            }
+            free = Math.max(free, e.getKey() + 1);
+        }
+        Page page = new Page(prefix + free);
+        pages.put(free, page);
+        return page;
+    }
+
+    void remove(String name) {
+        Page page = byName.remove(name);
+        if (page != null) {
+            page.bytes -= size(name, page.entries.remove(name));
+            page.dirty = true;
+        }
+    }
+
+    Set<String> names() {
+        return byName.keySet();
+    }
+
+    /** Adds changed pages to a transaction, as far as it has room; the batch must be told what became of it. */
+    Batch addTo(Txn txn, int mostChanges, int mostTxnBytes) {
+        Batch batch = new Batch();
+        int bytes = 0;
+        for (Page page : pages.values()) {
+            if (!page.dirty || page.asking || page.version == 0 && page.entries.isEmpty()) {
+                continue;
+            }
+            if (txn.changes() >= mostChanges || !batch.pages.isEmpty() && bytes + page.bytes > mostTxnBytes) {
+                break;
+            }
+            // Without this guard a write that is carried out late would put an older page over a newer one.
+            txn.guard(page.key, page.version);
+            if (page.entries.isEmpty()) {
+                txn.remove(page.key);
+                batch.removed.add(page);
+            } else {
+                ObjectNode value = Json.object();
+                page.entries.forEach(value::set);
+                txn.set(page.key, value);
+            }
+            bytes += page.bytes;
+            page.dirty = false;
+            batch.pages.add(page);
+        }
+        return batch;
+    }
+
+    /** Pages that are being written. */
+    final class Batch {
+        private final List<Page> pages = new ArrayList<>();
+        private final Set<Page> removed = new HashSet<>();
+
+        boolean isEmpty() {
+            return pages.isEmpty();
+        }
+
+        /** Whether the entry stands in one of these pages. */
+        boolean holds(String name) {
+            return pages.contains(byName.get(name));
+        }
+
+        /**
+         * What became of the write; true when it was carried out. One whose answer was lost may yet be: it is
+         * repeated, and should the first have come through, the guard of the repeat fails and tells so.
+         */
+        boolean written(StateClient state, Answer answer) {
+            JsonNode body = answer.json();
+            if (answer.ok() && body != null) {
+                long version = Json.count(body, "Ledger", 0);
+                pages.forEach(page -> page.version = removed.contains(page) ? 0 : version);
+                return true;
+            }
+            Set<String> refused = new HashSet<>();
+            if (answer.status() == 409 && body != null) {
+                body.path("failed").forEach(key -> refused.add(key.asText()));
+            }
+            for (Page page : pages) {
+                page.dirty = true;
+                if (refused.contains(page.key)) {
+                    ask(state, page);
+                }
+            }
+            return false;
+        }
+
+        private void ask(StateClient state, Page page) {
+            page.asking = true;
+            state.get(page.key, true, answer -> {
+                page.asking = false;
+                if (answer.ok() && answer.json() != null) {
+                    page.version = Json.count(answer.json(), "Stamp", page.version);
+                } else if (answer.status() == 404) {
+                    page.version = 0;
+                }
+            });
+        }
+    }
+}
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -105,11 +105,11 @@
     }
 
     /** Hands a worker's report to the leader, and the leader's answer back; null when there is none in time. */
-    void relay(String leader, byte[] report, Consumer<JsonNode> then) {
+    void relay(String leader, byte[] report, Consumer<byte[]> then) {
         for (Peer peer : settings.peers()) {
             if (peer.node().equals(leader)) {
                 client.send(peer.address(), "POST", REPORT, report, settings.reportS() * 2 / 3,
-                        answer -> then.accept(answer.ok() ? answer.json() : null));
+                        answer -> then.accept(answer.ok() ? answer.body() : null));
                 return;
             }
         }
@@ -117,11 +117,11 @@
     }
 
     private void relayed(Request request, Reply reply) {
-        ObjectNode answer = node.reportAnswer(request, reply);
+        byte[] answer = node.reportAnswer(request, reply);
         if (answer == null) {
             reply.later(503, "not the leader", 1);
         } else {
-            reply.json(200, answer);
+            reply.send(200, Reply.JSON, answer, 0);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/saffronshore/control/Records.java
@@ -0,0 +1,251 @@
+package org.saffronshore.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.LongNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.cluster.Cluster;
+import org.saffronshore.cluster.Job;
+import org.saffronshore.cluster.Machine;
+import org.saffronshore.config.Settings;
+import org.saffronshore.http.Loop;
+import org.saffronshore.leadership.Leadership;
+import org.saffronshore.state.JobStore;
+import org.saffronshore.state.Keys;
+import org.saffronshore.state.StateClient;
+import org.saffronshore.state.Txn;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a term writes down for the next one: which jobs are done, which tasks of the others are finished, and which
+ * machines may hold tasks. Every write is guarded by the leader's key.
+ */
+final class Records {
+    private static final Logger LOG = LoggerFactory.getLogger(Records.class);
+    /** Finished tasks are kept in pieces, so that an entry stays below what the state service takes. */
+    private static final int PIECE = 32_768;
+    /** Pages are this share of the longest value: longer ones are rewritten more often than they need be. */
+    private static final double PAGE = 0.5;
+    /** A transaction may be 64 KiB long; this leaves room for its guards. */
+    private static final int MOST_TXN_BYTES = 40 * 1024;
+
+    private final Loop loop;
+    private final Settings settings;
+    private final StateClient state;
+    private final JobStore store;
+    private final Leadership leadership;
+    private final Leader leader;
+    private final Cluster cluster;
+    private final Pages progress;
+    private final Pages roster;
+    private boolean progressBusy;
+    private boolean rosterBusy;
+    private double finishAgainAt = Double.NEGATIVE_INFINITY;
+    private double rosterAgainAt = Double.NEGATIVE_INFINITY;
+
+    Records(Node node, Leader leader, Cluster cluster) {
+        this.loop = node.loop();
+        this.settings = node.settings();
+        this.state = node.state();
+        this.store = node.store();
+        this.leadership = node.leadership();
+        this.leader = leader;
+        this.cluster = cluster;
+        int pageBytes = (int) (settings.valueKb() * 1024 * PAGE);
+        this.progress = new Pages(Keys.PROGRESS, pageBytes);
+        this.roster = new Pages(Keys.ROSTER, pageBytes);
+    }
+
+    // What earlier terms wrote
+
+    /** The finished tasks of each job. */
+    Map<String, BitSet> readProgress(StateClient.Listing stored) {
+        Map<String, BitSet> done = new HashMap<>();
+        progress.read(stored.entries(), (name, value) -> {
+            BitSet bits = done.computeIfAbsent(Keys.idOf(Keys.PROGRESS + name), j -> new BitSet());
+            int piece = Integer.parseInt(name.substring(name.indexOf('/') + 1));
+            try {
+                BitSet.valueOf(value.binaryValue()).stream().forEach(i -> bits.set(piece * PIECE + i));
+            } catch (IOException | RuntimeException e) {
+                LOG.error("the record of finished tasks {} cannot be read", name, e);
+            }
+        });
+        return done;
+    }
+
+    /** Tells the cluster of all machines that may hold tasks, and forgets the progress of jobs that are over. */
+    void begin(StateClient.Listing storedRoster) {
+        roster.read(storedRoster.entries(), (machine, since) ->
+                cluster.addRoster(machine, (loop.wallMs() - since.asLong()) / 1000.0 - 2 * settings.clockOffS()));
+        for (String name : new ArrayList<>(progress.names())) {
+            if (cluster.job(Keys.idOf(Keys.PROGRESS + name)) == null) {
+                progress.remove(name);
+            }
+        }
+    }
+
+    // Writing
+
+    private Txn guarded() {
+        return new Txn().guard(Keys.LEADER, leadership.keyVersion());
+    }
+
+    private boolean stillLeading(JsonNode refusal) {
+        if (refusal != null) {
+            for (JsonNode key : refusal.path("failed")) {
+                if (Keys.LEADER.equals(key.asText())) {
+                    leadership.stepDown("its key is gone");
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /** The job is over: its finished tasks need not be kept any more. */
+    void remove(String job) {
+        for (int piece = 0; piece * PIECE < JobSpec.MOST_TASKS; piece++) {
+            progress.remove(name(job, piece));
+        }
+    }
+
+    private static String name(String job, int piece) {
+        return job + "/" + piece;
+    }
+
+    /** Commits that jobs are done, before any user is told so. */
+    void saveFinished() {
+        if (cluster.complete().isEmpty() || loop.now() < finishAgainAt) {
+            return;
+        }
+        for (Job job : new ArrayList<>(cluster.complete())) {
+            if (!job.saving()) {
+                saveFinished(job);
+            }
+        }
+    }
+
+    private void saveFinished(Job job) {
+        String id = job.spec().id();
+        Txn txn = guarded().guard(Keys.job(id), job.version()).guard(Keys.end(id), 0)
+                .set(Keys.end(id), JobStore.endRecord(JobStore.Status.DONE)).remove(Keys.job(id));
+        job.saving(true);
+        state.commit(txn, true, answer -> {
+            job.saving(false);
+            if (leader.ended()) {
+                return;
+            }
+            if (answer.ok()) {
+                LOG.debug("job {} is done", id);
+                store.remember(id, JobStore.Status.DONE);
+                leader.remove(id);
+                leader.act();
+                return;
+            }
+            // Its user cancelled it, or an earlier try of ours came through, which the watch will tell; or the
+            // service is away, and to ask it again with every report would only add to its trouble.
+            if (answer.status() != 409 || stillLeading(answer.json())) {
+                finishAgainAt = loop.now() + settings.reportS() / 6;
+            }
+        });
+    }
+
+    /** Keeps which tasks are finished, so that a change of leader does not run them again. */
+    void saveProgress() {
+        if (progressBusy) {
+            return;
+        }
+        Map<Job, BitSet> saving = new LinkedHashMap<>();
+        Map<Job, Set<String>> entries = new HashMap<>();
+        for (Job job : cluster.unsaved()) {
+            if (!job.complete()) {
+                BitSet now = (BitSet) job.doneTasks().clone();
+                saving.put(job, now);
+                entries.put(job, enter(job, now));
+            }
+        }
+        Txn txn = guarded();
+        Pages.Batch batch = progress.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+        if (batch.isEmpty()) {
+            return;
+        }
+        saving.keySet().removeIf(job -> !entries.get(job).stream().allMatch(batch::holds));
+        progressBusy = true;
+        state.commit(txn, true, answer -> {
+            progressBusy = false;
+            boolean written = batch.written(state, answer);
+            if (leader.ended()) {
+                return;
+            }
+            if (written) {
+                saving.forEach(cluster::saved);
+            } else if (answer.status() == 409) {
+                stillLeading(answer.json());
+            }
+        });
+    }
+
+    /** Puts the finished tasks of a job where they are new; the names of what changed. */
+    private Set<String> enter(Job job, BitSet now) {
+        Set<String> names = new LinkedHashSet<>();
+        BitSet news = (BitSet) now.clone();
+        news.andNot(job.savedTasks());
+        for (int i = news.nextSetBit(0); i >= 0; i = news.nextSetBit((i / PIECE + 1) * PIECE)) {
+            int piece = i / PIECE;
+            String name = name(job.spec().id(), piece);
+            byte[] bits = now.get(piece * PIECE, (piece + 1) * PIECE).toByteArray();
+            progress.put(name, TextNode.valueOf(Base64.getEncoder().encodeToString(bits)));
+            names.add(name);
+        }
+        return names;
+    }
+
+    /** A machine gets tasks only once the state service knows that it may: a next leader must account for it. */
+    void saveRoster() {
+        if (rosterBusy || loop.now() < rosterAgainAt || !cluster.rosterDue()) {
+            return;
+        }
+        List<Machine> added = cluster.notInRoster();
+        for (Machine m : added) {
+            roster.put(m.id(), LongNode.valueOf(loop.wallMs()));
+        }
+        List<String> left = new ArrayList<>(cluster.rosterLeft());
+        left.forEach(roster::remove);
+        left.forEach(cluster.rosterLeft()::remove);
+        Txn txn = guarded();
+        Pages.Batch batch = roster.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+        if (batch.isEmpty()) {
+            return;
+        }
+        List<Machine> entered = added.stream().filter(m -> batch.holds(m.id())).toList();
+        rosterBusy = true;
+        state.commit(txn, true, answer -> {
+            rosterBusy = false;
+            boolean written = batch.written(state, answer);
+            if (leader.ended()) {
+                return;
+            }
+            if (written) {
+                cluster.inRoster(entered);
+                leader.act();
+            } else {
+                rosterAgainAt = loop.now() + settings.reportS() / 10;
+                if (answer.status() == 409) {
+                    stillLeading(answer.json());
+                }
+            }
+        });
+    }
+}
--- a/src/main/java/org/saffronshore/fleet/FleetPlan.java
+++ b/src/main/java/org/saffronshore/fleet/FleetPlan.java
@@ -25,8 +25,14 @@
             this.room = Room.of(type);
         }
 
-        boolean takes(JobSpec job) {
-            return room.fits(job) && kind.allows(job);
+        /** Takes as many tasks of a job as it has room for; how many. */
+        int fill(JobSpec job, int most) {
+            int taken = 0;
+            while (taken < most && room.fits(job) && kind.allows(job)) {
+                room.take(job);
+                taken++;
+            }
+            return taken;
         }
     }
 
@@ -48,41 +54,37 @@
      */
     public static Map<Kind, Integer> orders(Map<String, MachineType> types, List<Plan.Unmet> unmet, Map<String, Integer> perZone, Predicate<Kind> available) {
         FleetPlan plan = new FleetPlan(types, available, perZone);
-        List<JobSpec> tasks = new ArrayList<>();
-        for (Plan.Unmet u : unmet) {
-            for (int i = 0; i < u.tasks(); i++) {
-                tasks.add(u.job());
-            }
-        }
         // Large tasks first: small ones then fill the gaps, and fewer machines do.
-        tasks.sort(Comparator.comparingDouble((JobSpec j) -> -j.cpus()));
-        for (int i = 0; i < tasks.size(); i++) {
-            plan.add(tasks, i);
+        List<Plan.Unmet> groups = new ArrayList<>(unmet);
+        groups.sort(Comparator.comparingDouble((Plan.Unmet u) -> -u.job().cpus()));
+        for (int i = 0; i < groups.size(); i++) {
+            plan.add(groups, i);
         }
         return plan.orders;
     }
 
-    private void add(List<JobSpec> tasks, int index) {
-        JobSpec job = tasks.get(index);
+    private void add(List<Plan.Unmet> groups, int index) {
+        JobSpec job = groups.get(index).job();
+        int left = groups.get(index).tasks();
         for (Bin bin : bins) {
-            if (bin.takes(job)) {
-                bin.room.take(job);
+            left -= bin.fill(job, left);
+        }
+        while (left > 0) {
+            Kind kind = cheapest(groups, index, left);
+            if (kind == null) {
                 return;
             }
-        }
-        Kind kind = cheapest(tasks, index);
-        if (kind != null) {
             Bin bin = new Bin(kind, types.get(kind.type()));
-            bin.room.take(job);
+            left -= bin.fill(job, left);
             bins.add(bin);
             orders.merge(kind, 1, Integer::sum);
             perZone.merge(kind.zone(), 1, Integer::sum);
         }
     }
 
-    /** The kind with the lowest price for what it would hold of the tasks from here on. */
-    private Kind cheapest(List<JobSpec> tasks, int index) {
-        JobSpec job = tasks.get(index);
+    /** The kind with the lowest price for what it would hold of the tasks that are left, from this group on. */
+    private Kind cheapest(List<Plan.Unmet> groups, int index, int left) {
+        JobSpec job = groups.get(index).job();
         Kind best = null;
         double bestScore = Double.POSITIVE_INFINITY;
         for (MachineType type : types.values()) {
@@ -95,7 +97,7 @@
                     continue;
                 }
                 double price = kind.spot() ? type.spotPrice() : type.price();
-                double score = price / held(new Bin(kind, type), tasks, index);
+                double score = price / held(new Bin(kind, type), groups, index, left);
                 if (score < bestScore) {
                     best = kind;
                     bestScore = score;
@@ -105,14 +107,11 @@
         return best;
     }
 
-    private static double held(Bin bin, List<JobSpec> tasks, int index) {
+    private static double held(Bin bin, List<Plan.Unmet> groups, int index, int left) {
         double cpus = 0;
-        for (int i = index; i < tasks.size() && bin.room.cpus > 1e-6; i++) {
-            JobSpec job = tasks.get(i);
-            if (bin.takes(job)) {
-                bin.room.take(job);
-                cpus += Math.max(job.cpus(), 1e-3);
-            }
+        for (int i = index; i < groups.size() && bin.room.cpus > 1e-6; i++) {
+            JobSpec job = groups.get(i).job();
+            cpus += bin.fill(job, i == index ? left : groups.get(i).tasks()) * Math.max(job.cpus(), 1e-3);
         }
         return cpus;
     }
--- a/src/main/java/org/saffronshore/fleet/Forecast.java
+++ b/src/main/java/org/saffronshore/fleet/Forecast.java
@@ -1,7 +1,6 @@
 package org.saffronshore.fleet;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -24,7 +23,8 @@
         private final Kind kind;
         private final Room room;
         private double openAt;
-        private final PriorityQueue<Release> releases = new PriorityQueue<>(Comparator.comparingDouble(Release::at));
+        /** The earliest last, so that it is taken off the end. */
+        private final ArrayList<Release> releases = new ArrayList<>(4);
 
         public Line(Kind kind, Room room, double openAt) {
             this.kind = kind;
@@ -34,19 +34,30 @@
 
         /** A task that is there already and is expected to end at a time. */
         public void running(JobSpec job, double until) {
-            releases.add(new Release(until, job));
+            int i = releases.size();
+            while (i > 0 && releases.get(i - 1).at <= until) {
+                i--;
+            }
+            releases.add(i, new Release(until, job));
         }
 
-        private double startOf(JobSpec job) {
+        /** When it has room for the job, or infinity when that is after the limit. */
+        private double startOf(JobSpec job, double limit) {
             if (room.fits(job)) {
                 return openAt;
             }
-            Room later = room.copy();
-            List<Release> ordered = new ArrayList<>(releases);
-            ordered.sort(releases.comparator());
-            for (Release r : ordered) {
-                later.give(r.job);
-                if (later.fits(job)) {
+            double cpus = room.cpus;
+            double gpus = room.gpus;
+            double memoryGb = room.memoryGb;
+            for (int i = releases.size() - 1; i >= 0; i--) {
+                Release r = releases.get(i);
+                if (r.at > limit) {
+                    break;
+                }
+                cpus += r.job.cpus();
+                gpus += r.job.gpus();
+                memoryGb += r.job.memoryGb();
+                if (Room.fits(job, cpus, gpus, memoryGb)) {
                     return Math.max(openAt, r.at);
                 }
             }
@@ -55,14 +66,22 @@
 
         private void put(JobSpec job, double start, double lasts) {
             while (!room.fits(job) && !releases.isEmpty()) {
-                room.give(releases.poll().job);
+                room.give(releases.remove(releases.size() - 1).job);
             }
             openAt = Math.max(openAt, start);
             room.take(job);
-            releases.add(new Release(start + lasts, job));
+            running(job, start + lasts);
         }
     }
 
+    /** A line, by its place among all, and when it could take the next task of a job. */
+    private record Start(double at, int line) {
+        static final Comparator<Start> ORDER = Comparator.comparingDouble(Start::at).thenComparingInt(Start::line);
+    }
+
+    /** What no line takes in time: lines only fill up, so what asks for no less need not be tried. */
+    private record Failure(JobSpec job, double limit) {}
+
     private Forecast() {}
 
     /**
@@ -71,31 +90,19 @@
      * @param lasts how long a task is expected to take
      * @param helpAt when a machine rented now for a task would be up
      */
-    public static List<Plan.Unmet> late(Collection<Line> lines, List<Plan.Unmet> queue,
+    public static List<Plan.Unmet> late(List<Line> lines, List<Plan.Unmet> queue,
             ToDoubleFunction<JobSpec> lasts, ToDoubleFunction<JobSpec> helpAt) {
         List<Plan.Unmet> late = new ArrayList<>();
+        List<Failure> failures = new ArrayList<>();
         for (Plan.Unmet u : queue) {
             JobSpec job = u.job();
             double limit = helpAt.applyAsDouble(job);
-            double length = lasts.applyAsDouble(job);
             int left = u.tasks();
-            while (left > 0) {
-                Line best = null;
-                double bestStart = limit;
-                for (Line line : lines) {
-                    if (line.kind.allows(job)) {
-                        double start = line.startOf(job);
-                        if (start <= bestStart && (best == null || start < bestStart)) {
-                            best = line;
-                            bestStart = start;
-                        }
-                    }
-                }
-                if (best == null) {
-                    break;
+            if (failures.stream().noneMatch(f -> limit <= f.limit && job.asksNoLess(f.job))) {
+                left = put(lines, job, left, limit, lasts.applyAsDouble(job));
+                if (left > 0) {
+                    failures.add(new Failure(job, limit));
                 }
-                best.put(job, bestStart, length);
-                left--;
             }
             if (left > 0) {
                 late.add(new Plan.Unmet(job, left));
@@ -103,4 +110,29 @@
         }
         return late;
     }
+
+    /** Puts tasks of a job on the lines that take them first; how many found none in time. */
+    private static int put(List<Line> lines, JobSpec job, int tasks, double limit, double lasts) {
+        PriorityQueue<Start> starts = new PriorityQueue<>(Start.ORDER);
+        for (int i = 0; i < lines.size(); i++) {
+            if (lines.get(i).kind.allows(job)) {
+                offer(starts, lines, i, job, limit);
+            }
+        }
+        int left = tasks;
+        while (left > 0 && !starts.isEmpty()) {
+            Start best = starts.poll();
+            lines.get(best.line).put(job, best.at, lasts);
+            offer(starts, lines, best.line, job, limit);
+            left--;
+        }
+        return left;
+    }
+
+    private static void offer(PriorityQueue<Start> starts, List<Line> lines, int line, JobSpec job, double limit) {
+        double at = lines.get(line).startOf(job, limit);
+        if (at <= limit) {
+            starts.add(new Start(at, line));
+        }
+    }
 }
--- a/src/main/java/org/saffronshore/http/Admission.java
+++ b/src/main/java/org/saffronshore/http/Admission.java
@@ -16,11 +16,11 @@
     private static final int SLICE = 8;
 
     private final Loop loop;
-    private final int most;
+    private final Map<Rank, Integer> most;
     private final Map<Rank, ArrayDeque<Runnable>> waiting = new EnumMap<>(Rank.class);
     private boolean scheduled;
 
-    public Admission(Loop loop, int most) {
+    public Admission(Loop loop, Map<Rank, Integer> most) {
         this.loop = loop;
         this.most = most;
         for (Rank rank : Rank.values()) {
@@ -31,7 +31,7 @@
     /** Takes work on, or returns false when there is no room for more of its rank. */
     public boolean offer(Rank rank, Runnable work) {
         ArrayDeque<Runnable> queue = waiting.get(rank);
-        if (queue.size() >= most) {
+        if (queue.size() >= most.get(rank)) {
             return false;
         }
         queue.addLast(work);
--- a/src/main/java/org/saffronshore/http/HttpClient.java
+++ b/src/main/java/org/saffronshore/http/HttpClient.java
@@ -22,7 +22,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import org.saffronshore.config.Settings.Address;
 
 /**
@@ -36,19 +38,20 @@
     /** Idle connections are closed after this time: machines come and go, and one that is gone closes nothing. */
     public static final double IDLE_S = 30;
 
-    private record Kept(Channel channel, Loop.Timer timer) {}
+    private record Kept(Address to, Channel channel, Loop.Timer timer) {}
 
     private final Loop loop;
-    private final int mostConnections;
+    private final Sockets sockets;
     private final double idleS;
     private final Bootstrap bootstrap;
     private final Map<Address, ArrayDeque<Kept>> idle = new HashMap<>();
-    private int connections;
+    /** All of them, the one that has been idle for longest first. */
+    private final Set<Kept> oldest = new LinkedHashSet<>();
 
-    public HttpClient(Loop loop, IoEventLoopGroup group, int mostConnections, double idleS) {
+    public HttpClient(Loop loop, IoEventLoopGroup group, Sockets sockets, double idleS) {
         this.loop = loop;
         this.idleS = idleS;
-        this.mostConnections = mostConnections;
+        this.sockets = sockets;
         this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
@@ -69,18 +72,17 @@
             exchange.start(kept);
             return;
         }
-        if (connections >= mostConnections) {
+        if (!sockets.take() && !(closeOldest() && sockets.take())) {
             loop.soon(exchange::fail);
             return;
         }
-        connections++;
         bootstrap.connect(to.host(), to.port()).addListener((io.netty.channel.ChannelFuture f) -> {
             if (!f.isSuccess()) {
-                connections--;
+                sockets.release();
                 exchange.fail();
                 return;
             }
-            f.channel().closeFuture().addListener(c -> connections--);
+            f.channel().closeFuture().addListener(c -> sockets.release());
             if (exchange.over) {
                 f.channel().close();
             } else {
@@ -89,15 +91,11 @@
         });
     }
 
-    int connections() {
-        return connections;
-    }
-
     private Channel reuse(Address to) {
         ArrayDeque<Kept> waiting = idle.get(to);
         while (waiting != null && !waiting.isEmpty()) {
-            Kept last = waiting.pollLast();
-            last.timer.cancel();
+            Kept last = waiting.peekLast();
+            forget(last);
             if (last.channel.isActive()) {
                 return last.channel;
             }
@@ -106,17 +104,33 @@
     }
 
     private void keep(Address to, Channel channel) {
-        Loop.Timer timer = loop.after(idleS, () -> {
-            ArrayDeque<Kept> waiting = idle.get(to);
-            if (waiting != null) {
-                waiting.removeIf(k -> k.channel == channel);
-                if (waiting.isEmpty()) {
-                    idle.remove(to);
-                }
-            }
-            channel.close();
-        });
-        idle.computeIfAbsent(to, a -> new ArrayDeque<>()).addLast(new Kept(channel, timer));
+        Kept[] kept = new Kept[1];
+        kept[0] = new Kept(to, channel, loop.after(idleS, () -> close(kept[0])));
+        idle.computeIfAbsent(to, a -> new ArrayDeque<>(2)).addLast(kept[0]);
+        oldest.add(kept[0]);
+    }
+
+    private void forget(Kept kept) {
+        kept.timer.cancel();
+        oldest.remove(kept);
+        ArrayDeque<Kept> waiting = idle.get(kept.to);
+        if (waiting != null && waiting.remove(kept) && waiting.isEmpty()) {
+            idle.remove(kept.to);
+        }
+    }
+
+    private void close(Kept kept) {
+        forget(kept);
+        kept.channel.close();
+    }
+
+    /** With many machines, connections that are kept for later must not stand in the way of what is due now. */
+    private boolean closeOldest() {
+        if (oldest.isEmpty()) {
+            return false;
+        }
+        close(oldest.iterator().next());
+        return true;
     }
 
     private final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
--- a/src/main/java/org/saffronshore/http/HttpServer.java
+++ b/src/main/java/org/saffronshore/http/HttpServer.java
@@ -35,13 +35,12 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
     private final BiConsumer<Request, Reply> handler;
-    private final int mostConnections;
-    private int connections;
+    private final Sockets sockets;
     private Channel channel;
 
-    public HttpServer(BiConsumer<Request, Reply> handler, int mostConnections) {
+    public HttpServer(BiConsumer<Request, Reply> handler, Sockets sockets) {
         this.handler = handler;
-        this.mostConnections = mostConnections;
+        this.sockets = sockets;
     }
 
     public void start(IoEventLoopGroup group, Address address) throws InterruptedException {
@@ -63,12 +62,11 @@
 
     private void accept(SocketChannel ch) {
         // Past the limit a refusal must be quick: a connection that is never read would look healthy.
-        if (connections >= mostConnections) {
+        if (!sockets.take()) {
             ch.close();
             return;
         }
-        connections++;
-        ch.closeFuture().addListener(f -> connections--);
+        ch.closeFuture().addListener(f -> sockets.release());
         ch.pipeline().addLast(new HttpServerCodec(), new Aggregator(), new Requests());
     }
 
@@ -94,11 +92,20 @@
             Request request = new Request(message.method().name(), query < 0 ? uri : uri.substring(0, query),
                     ByteBufUtil.getBytes(message.content()));
             boolean close = !HttpUtil.isKeepAlive(message);
-            boolean[] sent = new boolean[1];
-            Reply reply = (status, type, body, retryAfterS) -> {
-                if (!sent[0]) {
-                    sent[0] = true;
-                    write(ctx, close, status, type, body, retryAfterS);
+            Reply reply = new Reply() {
+                private boolean sent;
+
+                @Override
+                public void send(int status, String type, byte[] body, int retryAfterS) {
+                    if (!sent) {
+                        sent = true;
+                        write(ctx, close, status, type, body, retryAfterS);
+                    }
+                }
+
+                @Override
+                public boolean wanted() {
+                    return ctx.channel().isActive();
                 }
             };
             if (message.decoderResult().isFailure()) {
--- a/src/main/java/org/saffronshore/http/Reply.java
+++ b/src/main/java/org/saffronshore/http/Reply.java
@@ -10,6 +10,11 @@
 
     void send(int status, String type, byte[] body, int retryAfterS);
 
+    /** Whether the other side still waits: it closes the connection when it has gone elsewhere. */
+    default boolean wanted() {
+        return true;
+    }
+
     default void json(int status, JsonNode body) {
         send(status, JSON, Json.bytes(body), 0);
     }
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -34,17 +34,20 @@
     private final List<Plan.Placement> placements = new ArrayList<>();
     private final List<Plan.Stop> stops = new ArrayList<>();
     private final Map<Pending, Integer> unmet = new LinkedHashMap<>();
+    private final double now;
+    private final Failures failures = new Failures();
 
-    private Cycle(Collection<Host> hosts, Map<String, Team> teams, Tuning tuning) {
+    private Cycle(Collection<Host> hosts, Map<String, Team> teams, Tuning tuning, double now) {
         this.hosts = hosts;
         this.teams = teams;
         this.tuning = tuning;
+        this.now = now;
     }
 
     /** Runs a cycle; only one with {@code evict} reconsiders tasks that are running. */
     public static Plan run(Collection<Host> hosts, Collection<Pending> jobs, Map<String, Team> teams, Tuning tuning,
-            boolean evict, RandomGenerator random) {
-        Cycle cycle = new Cycle(hosts, teams, tuning);
+            boolean evict, RandomGenerator random, double now) {
+        Cycle cycle = new Cycle(hosts, teams, tuning, now);
         cycle.queue(jobs);
         if (evict) {
             cycle.evict(random);
@@ -59,7 +62,7 @@
         List<Pending> ordered = new ArrayList<>(jobs);
         ordered.sort(Comparator.comparing((Pending p) -> -p.job.priority().ordinal()).thenComparing(p -> p.order));
         for (Pending p : ordered) {
-            if (!p.tasks.isEmpty() && teams.containsKey(p.job.team())) {
+            if (!p.isEmpty() && teams.containsKey(p.job.team())) {
                 queues.computeIfAbsent(p.job.team(), t -> new ArrayList<>()).add(new Entry(p, null, null));
             }
         }
@@ -151,6 +154,7 @@
             if (entry.home.room.fits(job)) {
                 entry.home.enter(job);
                 team.share(job, tuning, 1);
+                failures.teamsChanged();
             } else {
                 stops.add(new Plan.Stop(entry.evicted.task(), entry.home.id, "another team's guarantee"));
             }
@@ -160,24 +164,24 @@
         if (!team.withinLimit(job)) {
             return true;
         }
-        TaskId task = new TaskId(job.id(), pending.tasks.peek());
+        TaskId task = new TaskId(job.id(), pending.next());
         Host host = choose(pending, task);
         if (host == null) {
             host = preempt(pending, task, team);
         }
         if (host == null) {
-            unmet.put(pending, team.tasksWithinLimit(job, pending.tasks.size()));
+            unmet.put(pending, team.tasksWithinLimit(job, pending.left()));
             return true;
         }
-        pending.tasks.poll();
         pending.entered(host.kind.zone());
         team.use(job, tuning);
+        failures.teamsChanged();
         host.enter(job);
         if (host.free.fits(job)) {
             host.free.take(job);
             placements.add(new Plan.Placement(task, host.id));
         }
-        return pending.tasks.isEmpty();
+        return pending.isEmpty();
     }
 
     /**
@@ -186,20 +190,28 @@
      * shared ones; here every second of a machine is paid for, and one that stays empty can be returned.
      */
     private Host choose(Pending pending, TaskId task) {
+        JobSpec job = pending.job;
+        if (failures.noRoom(job)) {
+            return null;
+        }
         Host best = null;
+        boolean narrowed = false;
         for (Host host : hosts) {
-            if (host.room.fits(pending.job) && allowed(host, pending, task)
-                    && (best == null || better(host, best, pending.job))) {
+            if (!host.room.fits(job) || !host.kind.allows(job)) {
+                continue;
+            }
+            if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
+                narrowed = true;
+            } else if (best == null || better(host, best, job)) {
                 best = host;
             }
         }
+        if (best == null && !narrowed) {
+            failures.addNoRoom(job);
+        }
         return best;
     }
 
-    private static boolean allowed(Host host, Pending pending, TaskId task) {
-        return host.kind.allows(pending.job) && pending.zoneAllowed(host.kind.zone()) && !host.barred(task);
-    }
-
     private static boolean better(Host a, Host b, JobSpec job) {
         boolean nowA = a.free.fits(job);
         if (nowA != b.free.fits(job)) {
@@ -225,17 +237,27 @@
 
     /** Makes room on the host where that wastes the least work, by stops that the protocol allows; null if nowhere. */
     private Host preempt(Pending pending, TaskId task, Team team) {
-        boolean guaranteed = team.withinGuarantee(pending.job);
+        JobSpec job = pending.job;
+        boolean guaranteed = team.withinGuarantee(job);
+        if (failures.noVictims(job, guaranteed)) {
+            return null;
+        }
         Host best = null;
         List<Slot> bestVictims = null;
         double bestLoss = Double.POSITIVE_INFINITY;
+        boolean narrowed = false;
         for (Host host : hosts) {
-            if (!allowed(host, pending, task)) {
+            if (!host.hasBelow(job.priority().ordinal()) && !(guaranteed && host.hasOthers(job.team()))
+                    || !host.kind.allows(job)) {
                 continue;
             }
-            List<Slot> victims = victims(host, pending.job, guaranteed);
+            if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
+                narrowed = true;
+                continue;
+            }
+            List<Slot> victims = victims(host, job, guaranteed);
             double loss = victims == null ? Double.POSITIVE_INFINITY
-                    : victims.stream().mapToDouble(s -> s.lostS() * tuning.cost(s.job())).sum();
+                    : victims.stream().mapToDouble(s -> s.lostS(now) * tuning.cost(s.job())).sum();
             if (loss < bestLoss) {
                 best = host;
                 bestVictims = victims;
@@ -243,14 +265,18 @@
             }
         }
         if (best == null) {
+            if (!narrowed) {
+                failures.addNoVictims(job, guaranteed);
+            }
             return null;
         }
         for (Slot victim : bestVictims) {
             best.leave(victim);
             teams.get(victim.job().team()).share(victim.job(), tuning, -1);
-            stops.add(new Plan.Stop(victim.task(), best.id, guaranteed ? "the guarantee of " + pending.job.team()
-                    : "higher priority of " + pending.job.id()));
+            stops.add(new Plan.Stop(victim.task(), best.id, guaranteed ? "the guarantee of " + job.team()
+                    : "higher priority of " + job.id()));
         }
+        failures.roomMade();
         return best;
     }
 
@@ -268,7 +294,7 @@
                 candidates.add(slot);
             }
         }
-        candidates.sort(Comparator.comparingDouble((Slot s) -> s.lostS() * tuning.cost(s.job())));
+        candidates.sort(Comparator.comparingDouble((Slot s) -> s.lostS(now) * tuning.cost(s.job())));
         Room room = host.room.copy();
         List<Slot> victims = new ArrayList<>();
         Map<String, Room> taken = new HashMap<>();
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -5,12 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.saffronshore.fleet.Kind;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.TaskId;
 
 /**
- * A machine during one cycle. {@code free} is what is free now; {@code room} adds what tasks that are being
+ * A machine as the cycle sees it; kept from one cycle to the next as long as nothing of it changes. {@code free} is what is free now; {@code room} adds what tasks that are being
  * stopped, or are evicted in memory, will leave. A task that only fits the latter is promised its place, not
  * started there.
  */
@@ -21,12 +22,18 @@
     public final Room free;
     public final Room room;
     final List<Slot> slots = new ArrayList<>();
-    final Map<String, Integer> teams = new HashMap<>();
-    private final Set<TaskId> barred;
+    final Map<String, Integer> teams = new HashMap<>(8);
+    private final Predicate<TaskId> barred;
     private final Set<String> images;
+    /** The lowest class among the tasks that could be stopped, as an ordinal. */
+    private int lowest = Integer.MAX_VALUE;
+    private boolean touched;
 
-    public Host(String id, Kind kind, Room capacity, Set<TaskId> barred,
-            Set<String> images) {
+    /**
+     * @param barred tasks that may not be put here
+     * @param images what it holds; may change between cycles, but not in one
+     */
+    public Host(String id, Kind kind, Room capacity, Predicate<TaskId> barred, Set<String> images) {
         this.id = id;
         this.kind = kind;
         this.cpus = capacity.cpus;
@@ -43,22 +50,40 @@
             room.take(slot.job());
             slots.add(slot);
             teams.merge(slot.job().team(), 1, Integer::sum);
+            lowest = Math.min(lowest, slot.job().priority().ordinal());
         }
     }
 
+    /** Whether a cycle has changed it, so that it shows the machine no longer as it is. */
+    public boolean touched() {
+        return touched;
+    }
+
+    /** Whether it has tasks of a class below this one. */
+    boolean hasBelow(int priority) {
+        return lowest < priority;
+    }
+
+    /** Whether it has tasks of any other team. */
+    boolean hasOthers(String team) {
+        return teams.size() > 1 || teams.size() == 1 && !teams.containsKey(team);
+    }
+
     void leave(Slot slot) {
+        touched = true;
         room.give(slot.job());
         slots.remove(slot);
         teams.merge(slot.job().team(), -1, (a, b) -> a + b == 0 ? null : a + b);
     }
 
     void enter(JobSpec job) {
+        touched = true;
         room.take(job);
         teams.merge(job.team(), 1, Integer::sum);
     }
 
     boolean barred(TaskId task) {
-        return barred.contains(task);
+        return barred.test(task);
     }
 
     boolean holds(String image) {
--- a/src/main/java/org/saffronshore/scheduling/Pending.java
+++ b/src/main/java/org/saffronshore/scheduling/Pending.java
@@ -1,8 +1,6 @@
 package org.saffronshore.scheduling;
 
-import java.util.ArrayDeque;
-import java.util.Collection;
-import java.util.Deque;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.Map;
 import org.saffronshore.wire.JobSpec;
@@ -12,14 +10,50 @@
     public final JobSpec job;
     /** Submission order. */
     public final long order;
-    final Deque<Integer> tasks;
-    final Map<String, Integer> perZone;
+    private final BitSet tasks;
+    private final Map<String, Integer> perZone;
+    private int next;
+    private int left;
 
-    public Pending(JobSpec job, long order, Collection<Integer> tasks, Map<String, Integer> perZone) {
+    /**
+     * @param tasks which tasks wait; only read, and not to be changed while the cycle runs
+     * @param perZone how many of its other tasks each zone has, where the job's rules ask for that
+     */
+    public Pending(JobSpec job, long order, BitSet tasks, Map<String, Integer> perZone) {
         this.job = job;
         this.order = order;
-        this.tasks = new ArrayDeque<>(tasks);
-        this.perZone = new HashMap<>(perZone);
+        this.tasks = tasks;
+        this.perZone = perZone.isEmpty() ? new HashMap<>(4) : new HashMap<>(perZone);
+        this.next = tasks.nextSetBit(0);
+        this.left = tasks.cardinality();
+    }
+
+    /** Whether the job's rules ask where its other tasks are. */
+    public static boolean zonesMatter(JobSpec job) {
+        return job.oneZone() || job.spread();
+    }
+
+    boolean isEmpty() {
+        return left == 0;
+    }
+
+    /** How many tasks have not been placed yet. */
+    int left() {
+        return left;
+    }
+
+    /** The first task that has not been placed yet. */
+    int next() {
+        return next;
+    }
+
+    /** The first task was placed in a zone. */
+    void entered(String zone) {
+        next = tasks.nextSetBit(next + 1);
+        left--;
+        if (zonesMatter(job)) {
+            perZone.merge(zone, 1, Integer::sum);
+        }
     }
 
     /** Whether one more task of the job may be in this zone, given the job's other tasks. */
@@ -29,8 +63,4 @@
         }
         return !job.spread() || perZone.getOrDefault(zone, 0) < job.spreadLimit();
     }
-
-    void entered(String zone) {
-        perZone.merge(zone, 1, Integer::sum);
-    }
 }
--- a/src/main/java/org/saffronshore/scheduling/Room.java
+++ b/src/main/java/org/saffronshore/scheduling/Room.java
@@ -26,6 +26,10 @@
     }
 
     public boolean fits(JobSpec job) {
+        return fits(job, cpus, gpus, memoryGb);
+    }
+
+    public static boolean fits(JobSpec job, double cpus, double gpus, double memoryGb) {
         return cpus + CRUMB >= job.cpus() && gpus + CRUMB >= job.gpus() && memoryGb + CRUMB >= job.memoryGb();
     }
 
--- a/src/main/java/org/saffronshore/scheduling/Slot.java
+++ b/src/main/java/org/saffronshore/scheduling/Slot.java
@@ -3,5 +3,11 @@
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.TaskId;
 
-/** A task on a host as the cycle sees it; {@code lostS} is how much of its running time a stop would waste. */
-public record Slot(TaskId task, JobSpec job, boolean stopping, double lostS) {}
+/** A task on a host as the cycle sees it; {@code since} is when it began to run, NaN as long as it does not. */
+public record Slot(TaskId task, JobSpec job, boolean stopping, double since) {
+
+    /** How much of its running time a stop would waste. */
+    double lostS(double now) {
+        return Double.isNaN(since) ? 0 : job.saves() ? job.saveS() : now - since;
+    }
+}
--- a/src/main/java/org/saffronshore/state/Budget.java
+++ b/src/main/java/org/saffronshore/state/Budget.java
@@ -8,27 +8,48 @@
  */
 public final class Budget {
     /** Users' requests leave this share of the burst alone. */
-    private static final double RESERVED = 0.3;
+    private static final double RESERVED = 0.2;
 
     private final Loop loop;
-    private final double perSecond;
-    private final double burst;
+    private final double burstS;
+    private double perSecond;
     private double level;
     private double at;
 
-    public Budget(Loop loop, double perSecond) {
+    /** @param burstS how many seconds' worth may be spent at once after a quiet time */
+    public Budget(Loop loop, double perSecond, double burstS) {
         this.loop = loop;
+        this.burstS = burstS;
         this.perSecond = perSecond;
-        this.burst = Math.max(1, perSecond);
-        this.level = burst;
+        this.level = burst();
         this.at = loop.now();
     }
 
-    public boolean take(double amount, boolean vital) {
+    private double burst() {
+        return Math.max(1, perSecond * burstS);
+    }
+
+    private void fill() {
         double now = loop.now();
-        level = Math.min(burst, level + (now - at) * perSecond);
+        level = Math.min(burst(), level + (now - at) * perSecond);
         at = now;
-        double floor = vital ? 0 : Math.min(burst * RESERVED, burst - amount);
+    }
+
+    /** Changes the share of this node; what it has saved up stays. */
+    public void share(double newPerSecond) {
+        fill();
+        perSecond = newPerSecond;
+    }
+
+    /** How much a request of users may take now. */
+    public double available() {
+        fill();
+        return level - RESERVED * burst();
+    }
+
+    public boolean take(double amount, boolean vital) {
+        fill();
+        double floor = vital ? 0 : Math.min(burst() * RESERVED, burst() - amount);
         if (level - amount < floor) {
             return false;
         }
--- a/src/main/java/org/saffronshore/state/JobStore.java
+++ b/src/main/java/org/saffronshore/state/JobStore.java
@@ -27,6 +27,7 @@
     public enum Accepted { NEW, KNOWN, UNKNOWN, OVERLOADED }
 
     private static final int REMEMBERED = 20_000;
+    private static final double PAUSE_S = 0.05;
     /** A transaction may be 64 KiB long; this leaves room for its guards. */
     private static final int MOST_BYTES = 40 * 1024;
 
@@ -51,8 +52,8 @@
         this.loop = loop;
         this.state = state;
         this.mostPerTxn = Math.max(1, settings.txnOps());
-        // About what the write budget can take within the time that a user waits for an answer.
-        this.mostWaiting = (int) Math.max(4, 2 * settings.stateWriteRps() / settings.controllers());
+        // About what the write budget takes in a second.
+        this.mostWaiting = (int) Math.max(4, settings.stateWriteRps() / settings.controllers());
     }
 
     public static JsonNode endRecord(Status status) {
@@ -74,11 +75,18 @@
     }
 
     private void commitNext() {
+        int most = Math.min(mostPerTxn, state.writable());
+        if (most < 1) {
+            // The queue is short: what waits here is written within about a second.
+            committing = true;
+            loop.after(PAUSE_S, this::commitNext);
+            return;
+        }
         List<Submission> batch = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         Txn txn = new Txn();
         int bytes = 0;
-        while (!waiting.isEmpty() && batch.size() < mostPerTxn && !ids.contains(waiting.peek().job.id())
+        while (!waiting.isEmpty() && batch.size() < most && !ids.contains(waiting.peek().job.id())
                 && (batch.isEmpty() || bytes + waiting.peek().bytes <= MOST_BYTES)) {
             Submission s = waiting.poll();
             batch.add(s);
--- a/src/main/java/org/saffronshore/state/Keys.java
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -6,9 +6,9 @@
     public static final String JOBS = "j/";
     /** How jobs ended; these are never changed or removed. */
     public static final String FINALS = "f/";
-    /** Finished tasks of jobs that are not over. */
+    /** Pages of finished tasks of jobs that are not over. */
     public static final String PROGRESS = "p/";
-    /** Machines that may hold tasks. */
+    /** Pages of machines that may hold tasks. */
     public static final String ROSTER = "r/";
     public static final String LEADER = "l/leader";
     public static final String TERM = "t/term";
@@ -24,14 +24,6 @@
         return FINALS + id;
     }
 
-    public static String machine(String id) {
-        return ROSTER + id;
-    }
-
-    public static String progress(String id, int chunk) {
-        return PROGRESS + id + "/" + chunk;
-    }
-
     public static String idOf(String key) {
         int from = key.indexOf('/') + 1;
         int to = key.indexOf('/', from);
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -18,6 +18,9 @@
     /** Users wait two seconds for the answer to a question; this leaves a node time to say that it has none. */
     public static final double TIMEOUT_S = 1.5;
     private static final int PAGE = 500;
+    /** The leader's part of all requests and of all writes; the rest is shared out evenly, to it as well. */
+    private static final double LEADER_REQUESTS = 0.15;
+    private static final double LEADER_WRITES = 0.3;
 
     public record Entry(String key, JsonNode value, long version) {}
 
@@ -36,8 +39,23 @@
         this.loop = loop;
         this.client = client;
         this.settings = settings;
-        this.requests = new Budget(loop, settings.stateRps() / settings.controllers());
-        this.writes = new Budget(loop, settings.stateWriteRps() / settings.controllers());
+        this.requests = new Budget(loop, share(settings.stateRps(), LEADER_REQUESTS, false), 1);
+        this.writes = new Budget(loop, share(settings.stateWriteRps(), LEADER_WRITES, false), 1.5);
+    }
+
+    private double share(double all, double leaders, boolean leading) {
+        return all * ((1 - leaders) / settings.controllers() + (leading ? leaders : 0));
+    }
+
+    /** The leader writes for the whole cluster, so a part of what the service takes is its own. */
+    public void leading(boolean now) {
+        requests.share(share(settings.stateRps(), LEADER_REQUESTS, now));
+        writes.share(share(settings.stateWriteRps(), LEADER_WRITES, now));
+    }
+
+    /** How many changes users' requests may make now. */
+    public int writable() {
+        return (int) writes.available();
     }
 
     public double answeredAt() {
--- a/src/main/java/org/saffronshore/wire/JobSpec.java
+++ b/src/main/java/org/saffronshore/wire/JobSpec.java
@@ -65,6 +65,13 @@
         return (tasks + 1) / 2;
     }
 
+    /** Whether a task of this job asks for at least as much as one of another, and may go to no more machines. */
+    public boolean asksNoLess(JobSpec other) {
+        return cpus >= other.cpus && gpus >= other.gpus && memoryGb >= other.memoryGb
+                && (other.spot || !spot) && (other.zone == null || other.zone.equals(zone))
+                && (other.types == null || other.types.equals(types));
+    }
+
     public boolean saves() {
         return checkpointS > 0;
     }
--- a/src/main/java/org/saffronshore/wire/Json.java
+++ b/src/main/java/org/saffronshore/wire/Json.java
@@ -1,5 +1,6 @@
 package org.saffronshore.wire;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -31,6 +32,11 @@
         return read(CBOR, body);
     }
 
+    /** Reads a body piece by piece, where a tree of it would cost too much. */
+    static JsonParser parser(byte[] body) throws IOException {
+        return JSON.getFactory().createParser(body);
+    }
+
     public static byte[] bytes(JsonNode node) {
         return write(JSON, node);
     }
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -132,7 +132,7 @@
         cluster.addJob(more, KEY + 1, 0, new BitSet());
         Machine m = up("host-2");
         var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(), teams,
-                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1));
+                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1), loop.now());
         assertTrue(plan.placements().isEmpty() && plan.unmet().isEmpty(), "4 that may run and 62 are beyond 64");
         assertTrue(m.settled());
     }
@@ -187,7 +187,20 @@
         cluster.reported(report("host-1", 1, 50, TERM, ended), true);
         assertTrue(placeable(), "it is over there");
         assertFalse(ops(cluster.responseCommands(m)).contains(Command.Op.FORGET));
-        assertTrue(m.barred().contains(TASK), "and must go elsewhere");
+        assertTrue(m.barred(TASK), "and must go elsewhere");
+    }
+
+    /** Tasks that are put on a machine that hangs are lost time, for as long as its lease. */
+    @Test
+    void aSilentMachineGetsNothingNew() {
+        Machine m = up("host-1");
+        job(101);
+        loop.pass(3 * 2.2 + 0.1);
+        assertEquals(0, cluster.hosts().size());
+        cluster.place(TASK, m.id());
+        assertTrue(placeable());
+        up("host-1");
+        assertEquals(1, cluster.hosts().size());
     }
 
     // What ends an attempt
@@ -328,6 +341,7 @@
         cluster.reported(report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)), true);
         assertFalse(cluster.movable(m, 10));
         loop.pass(11);
+        cluster.reported(report("host-1", 1, 51, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)), true);
         assertTrue(cluster.movable(m, 10));
         cluster.empty(m);
         assertTrue(m.draining() && !m.usable(loop.now()));
--- /dev/null
+++ b/src/test/java/org/saffronshore/control/PagesTest.java
@@ -0,0 +1,97 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.LongNode;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.saffronshore.HandLoop;
+import org.saffronshore.Samples;
+import org.saffronshore.StateStandIn;
+import org.saffronshore.http.Answer;
+import org.saffronshore.state.StateClient;
+import org.saffronshore.state.Txn;
+
+class PagesTest {
+    private static final int MOST_BYTES = 60;
+    private final HandLoop loop = new HandLoop();
+    private final StateStandIn service = new StateStandIn(loop);
+    private final StateClient state = new StateClient(loop, service, Samples.settings());
+    private final Pages pages = new Pages("r/", MOST_BYTES);
+
+    private boolean write(Pages from) {
+        Txn txn = new Txn();
+        Pages.Batch batch = from.addTo(txn, 8, 1000);
+        boolean[] ok = new boolean[1];
+        if (!batch.isEmpty()) {
+            state.commit(txn, true, answer -> ok[0] = batch.written(state, answer));
+            loop.pass(2);
+        }
+        return ok[0];
+    }
+
+    private Map<String, Long> stored() {
+        Map<String, Long> all = new TreeMap<>();
+        state.list("r/", listing -> new Pages("r/", MOST_BYTES).read(listing.entries(),
+                (name, value) -> all.put(name, value.asLong())));
+        loop.pass(1);
+        return all;
+    }
+
+    @Test
+    void keepsManyEntriesInFewKeys() {
+        for (int i = 0; i < 10; i++) {
+            pages.put("host-" + i, LongNode.valueOf(i));
+        }
+        assertTrue(write(pages));
+        assertFalse(write(pages), "nothing has changed");
+        assertEquals(10, stored().size());
+        assertTrue(service.version("r/1") > 0, "a page has a bounded length");
+        assertEquals(0, service.version("r/2"), "and is filled");
+        pages.put("host-3", LongNode.valueOf(33));
+        for (int i = 4; i < 10; i++) {
+            pages.remove("host-" + i);
+        }
+        assertTrue(write(pages));
+        assertEquals(Map.of("host-0", 0L, "host-1", 1L, "host-2", 2L, "host-3", 33L), stored());
+    }
+
+    /** A late copy of an older page must not take away what was entered since: a leader would not look for it. */
+    @Test
+    void anOlderPageThatComesLateChangesNothing() {
+        pages.put("host-1", LongNode.valueOf(1));
+        service.held = (method, path) -> path.equals("/commit");
+        assertFalse(write(pages), "nobody knows whether it was carried out");
+        service.held = (method, path) -> false;
+        pages.put("host-2", LongNode.valueOf(2));
+        assertTrue(write(pages));
+        service.deliverLate();
+        assertEquals(Map.of("host-1", 1L, "host-2", 2L), stored());
+    }
+
+    /** Nor may a page be stuck for good once such a copy came through. */
+    @Test
+    void aLateWriteThatCameThroughIsFound() {
+        pages.put("host-1", LongNode.valueOf(1));
+        service.held = (method, path) -> path.equals("/commit");
+        assertFalse(write(pages));
+        service.held = (method, path) -> false;
+        service.deliverLate();
+        pages.put("host-2", LongNode.valueOf(2));
+        assertFalse(write(pages), "the key is there by now");
+        assertTrue(write(pages));
+        assertEquals(Map.of("host-1", 1L, "host-2", 2L), stored());
+    }
+
+    @Test
+    void aRefusedWriteIsRepeated() {
+        pages.put("host-1", LongNode.valueOf(1));
+        Pages.Batch batch = pages.addTo(new Txn(), 8, 1000);
+        assertFalse(batch.written(state, new Answer(503, new byte[0])));
+        assertTrue(write(pages));
+        assertEquals(Map.of("host-1", 1L), stored());
+    }
+}
--- a/src/test/java/org/saffronshore/http/AdmissionTest.java
+++ b/src/test/java/org/saffronshore/http/AdmissionTest.java
@@ -6,13 +6,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.saffronshore.HandLoop;
 import org.saffronshore.http.Admission.Rank;
 
 class AdmissionTest {
     private final HandLoop loop = new HandLoop();
-    private final Admission admission = new Admission(loop, 20);
+    private final Admission admission = new Admission(loop, Map.of(Rank.REPORT, 20, Rank.DECISION, 20, Rank.SUBMISSION, 20));
     private final List<Rank> done = new ArrayList<>();
 
     @Test
--- a/src/test/java/org/saffronshore/http/HttpTest.java
+++ b/src/test/java/org/saffronshore/http/HttpTest.java
@@ -12,7 +12,7 @@
 /** The server and the client against each other, over loopback. */
 class HttpTest {
     private final NettyLoop loop = new NettyLoop();
-    private final HttpClient client = new HttpClient(loop, loop.group(), 10, HttpClient.IDLE_S);
+    private final HttpClient client = new HttpClient(loop, loop.group(), new Sockets(10), HttpClient.IDLE_S);
     private final HttpServer server = new HttpServer((request, reply) -> {
         if (request.path().equals("/later")) {
             reply.later(503, "not now", 7);
@@ -20,7 +20,7 @@
             reply.send(200, Reply.JSON, (request.method() + " " + request.path() + " " + request.body().length)
                     .getBytes(StandardCharsets.UTF_8), 0);
         }
-    }, 10);
+    }, new Sockets(10));
     private Address address;
 
     @BeforeEach
@@ -55,11 +55,12 @@
     /** Machines that are gone must not use up the connections that a node may have. */
     @Test
     void idleConnectionsAreClosed() {
-        HttpClient hasty = new HttpClient(loop, loop.group(), 1, 0.001);
+        Sockets one = new Sockets(1);
+        HttpClient hasty = new HttpClient(loop, loop.group(), one, 0.001);
         assertEquals(200, ask(hasty, address, "/x", 0, 60).status());
         CompletableFuture<Void> closed = new CompletableFuture<>();
         loop.every(0.01, () -> {
-            if (hasty.connections() == 0) {
+            if (one.taken() == 0) {
                 closed.complete(null);
             }
         });
@@ -67,6 +68,19 @@
         assertEquals(200, ask(hasty, address, "/x", 0, 60).status());
     }
 
+    /** A connection that is kept for later makes way for one that is due now. */
+    @Test
+    void anIdleConnectionMakesWay() throws InterruptedException {
+        HttpServer other = new HttpServer((request, reply) -> reply.send(204, Reply.JSON, new byte[0], 0), new Sockets(9));
+        other.start(loop.group(), new Address("127.0.0.1", 0));
+        HttpClient narrow = new HttpClient(loop, loop.group(), new Sockets(1), 60);
+        Address second = new Address("127.0.0.1", other.port());
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, ask(narrow, address, "/x", 0, 60).status());
+            assertEquals(204, ask(narrow, second, "/x", 0, 60).status());
+        }
+    }
+
     /** To users 413 would mean: try again. */
     @Test
     void anOverlongBodyIsMalformed() {
--- a/src/test/java/org/saffronshore/scheduling/CycleTest.java
+++ b/src/test/java/org/saffronshore/scheduling/CycleTest.java
@@ -5,16 +5,17 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.saffronshore.Samples;
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.Kind;
@@ -23,6 +24,7 @@
 import org.saffronshore.wire.TaskId;
 
 class CycleTest {
+    private static final double NOW = 100;
     private final List<Host> hosts = new ArrayList<>();
     private final List<Pending> jobs = new ArrayList<>();
     private final Map<String, Team> teams = new HashMap<>();
@@ -32,7 +34,7 @@
     }
 
     private Host host(String id, String zone, boolean spot, double cpus, TaskId... barred) {
-        Host host = new Host(id, new Kind("big", zone, spot), new Room(cpus, 0, 1000), new HashSet<>(Arrays.asList(barred)),
+        Host host = new Host(id, new Kind("big", zone, spot), new Room(cpus, 0, 1000), new HashSet<>(Arrays.asList(barred))::contains,
                 Set.of());
         hosts.add(host);
         return host;
@@ -40,18 +42,24 @@
 
     private void running(Host host, JobSpec job, int from, int to) {
         for (int i = from; i < to; i++) {
-            host.add(new Slot(new TaskId(job.id(), i), job, false, 10));
+            host.add(new Slot(new TaskId(job.id(), i), job, false, NOW - 10));
             teams.get(job.team()).use(job, Tuning.START);
         }
     }
 
     private void queued(JobSpec job, long order) {
-        jobs.add(new Pending(job, order, IntStream.range(0, job.tasks()).boxed().toList(), Map.of()));
+        jobs.add(new Pending(job, order, all(job.tasks()), Map.of()));
+    }
+
+    private static BitSet all(int tasks) {
+        BitSet all = new BitSet();
+        all.set(0, tasks);
+        return all;
     }
 
     private Plan run(double evictionProbability) {
         Tuning tuning = new Tuning(5, evictionProbability, 1, 0);
-        return Cycle.run(hosts, jobs, teams, tuning, evictionProbability > 0, new Random(1));
+        return Cycle.run(hosts, jobs, teams, tuning, evictionProbability > 0, new Random(1), NOW);
     }
 
     private static long placed(Plan plan, String job) {
@@ -123,7 +131,7 @@
         team("H", 0, 0);
         Host one = host("one", "a", false, 8);
         JobSpec low = Samples.job("wk-1", "F", Priority.STANDARD, 1, 8);
-        one.add(new Slot(new TaskId("wk-1", 0), low, true, 0));
+        one.add(new Slot(new TaskId("wk-1", 0), low, true, NOW));
         queued(Samples.job("wk-3", "F", Priority.STANDARD, 1, 8), 1);
         teams.get("H").use(Samples.job("wk-8", "H", Priority.URGENT, 1, 4), Tuning.START);
         queued(Samples.job("wk-2", "H", Priority.URGENT, 1, 8), 2);
@@ -195,7 +203,7 @@
         host("b", "b", false, 16);
         JobSpec job = new JobSpec("wk-1", "class", "F", Priority.STANDARD, 9, 1, 0, 1, "image", 1, null, null, false,
                 true, true, 30, 0, 0, 100);
-        jobs.add(new Pending(job, 1, List.of(5, 6, 7, 8), Map.of("a", 5)));
+        jobs.add(new Pending(job, 1, BitSet.valueOf(new long[] {0b1_1110_0000}), Map.of("a", 5)));
         assertTrue(run(0).placements().stream().allMatch(p -> p.host().equals("b")));
     }
 
@@ -206,4 +214,52 @@
         queued(Samples.job("wk-1", "F", Priority.STANDARD, 2, 1), 1);
         assertEquals(List.of(), run(0).placements().stream().filter(p -> p.task().index() == 0).toList());
     }
+
+    /** What makes the cycle fast must not change what it decides. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+    void decidesAsIfItLookedAtEveryMachineForEveryTask(int seed) {
+        for (int round = 0; round < 40; round++) {
+            Random random = new Random(seed * 1000 + round);
+            boolean evict = random.nextBoolean();
+            Tuning tuning = new Tuning(5, evict ? 0.5 : 0, 1, 0);
+            long view = random.nextLong();
+            randomView(new Random(view));
+            Plan plain = PlainCycle.run(hosts, jobs, teams, tuning, evict, new Random(round), NOW);
+            randomView(new Random(view));
+            assertEquals(plain, Cycle.run(hosts, jobs, teams, tuning, evict, new Random(round), NOW));
+        }
+    }
+
+    private void randomView(Random random) {
+        hosts.clear();
+        jobs.clear();
+        teams.clear();
+        team("F", 0, 0);
+        team("G", random.nextInt(40), 0);
+        team("H", random.nextInt(40), 40 + random.nextInt(60));
+        for (int i = 0; i < 12; i++) {
+            Host host = host("host-" + i, random.nextBoolean() ? "a" : "b", random.nextBoolean(),
+                    random.nextBoolean() ? 4 : 16, new TaskId("wk-" + (100 + random.nextInt(12)), 0));
+            double free = host.free.cpus;
+            for (int t = 0; t < 4; t++) {
+                JobSpec job = randomJob("wk-" + (i * 4 + t), random);
+                if (job.cpus() <= free && random.nextInt(4) > 0) {
+                    free -= job.cpus();
+                    host.add(new Slot(new TaskId(job.id(), 0), job, random.nextInt(5) == 0, NOW - random.nextInt(60)));
+                    teams.get(job.team()).use(job, Tuning.START);
+                }
+            }
+        }
+        for (int j = 0; j < 12; j++) {
+            queued(randomJob("wk-" + (100 + j), random), j);
+        }
+    }
+
+    private static JobSpec randomJob(String id, Random random) {
+        return new JobSpec(id, "class", List.of("F", "G", "H").get(random.nextInt(3)),
+                Priority.values()[1 + random.nextInt(2)], 1 + random.nextInt(8), List.of(1, 2, 4, 8).get(random.nextInt(4)),
+                0, 1, "image", 1, null, random.nextInt(6) == 0 ? "a" : null, random.nextInt(6) == 0,
+                random.nextInt(6) == 0, random.nextInt(4) > 0, 30, random.nextInt(2) * 10, 3, 100);
+    }
 }
