Deaf machines, late copies of reports, overtaken peer messages, silence of the state service, starvation

What the users added to the protocol, each with tests: a machine that hears nothing gets no work and is returned, unless many seem deaf; an answer to an old report renews a lease only from the newest word of the machine, so copies do not hold tasks without end; a task that seems to be in two places after a change of leader waits for both (it could have been started a third time while one of the two was being stopped); messages between controllers are numbered, so that a late copy of giving up cannot give a leader's time away twice; users are refused at once while the state service says nothing; a job of which nothing ran for four leases goes first with one task.

--- a/src/main/java/org/saffronshore/cluster/Calls.java
+++ b/src/main/java/org/saffronshore/cluster/Calls.java
@@ -44,7 +44,7 @@
     }
 
     boolean needsCall(Machine m) {
-        if (!m.settled) {
+        if (!m.settled || m.deaf) {
             return true;
         }
         for (Attempt a : m.attempts.values()) {
@@ -97,6 +97,7 @@
             }
         }
         if (report != null) {
+            cluster.hears(m);
             cluster.answered(m, report);
         }
         if (executed || surelyNot && report != null) {
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -44,6 +44,9 @@
     private static final int BAD_JOB_MACHINES = 3;
     /** A machine counts as silent when it has let this many reports be missed. */
     private static final double MISSED_REPORTS = 2.2;
+    /** A machine that shows no sign of having heard us for so many reports counts as deaf. */
+    private static final double DEAF_REPORTS = 3;
+    private static final double DEAF_SHARE = 0.05;
     private static final int REMEMBERED_GONE = 5_000;
 
     private final Loop loop;
@@ -188,7 +191,10 @@
         }
         unsaved.remove(job);
         complete.remove(job);
-        for (Attempt a : job.placed.values()) {
+        for (Attempt a : new ArrayList<>(job.placed.values())) {
+            stop(a, 0, "its job is over");
+        }
+        for (Attempt a : new ArrayList<>(job.others)) {
             stop(a, 0, "its job is over");
         }
         changed = true;
@@ -339,6 +345,58 @@
         }
     }
 
+    /**
+     * Looks for machines that report and yet hear nothing: their reports come, but the term's token does not show, or
+     * what they are told does not happen. They get no new work, and are returned. Their tasks are placed again when
+     * the cloud has answered that, or, in the term that started them, with the machine's next session: launches name
+     * the session, so none of ours can arrive in a later one. A session that is new to this term proves nothing of
+     * what earlier leaders did: they may have known it, and a launch of theirs may still arrive there as long as the
+     * machine has not seen our token. So that is not relied on.
+     */
+    public void findDeaf() {
+        double now = loop.now();
+        double patience = DEAF_REPORTS * settings.reportS();
+        for (Machine m : machines.values()) {
+            if (!m.up || m.deaf || m.silent(now)) {
+                continue;
+            }
+            boolean untold = !m.settled && now > m.firstAnsweredAt + patience;
+            if (untold || m.attempts.values().stream().anyMatch(a -> a.state == Attempt.State.SENDING && a.loose
+                    && now > a.placedAt + patience)) {
+                suspect(m);
+            }
+        }
+    }
+
+    private void suspect(Machine m) {
+        LOG.debug("machine {} does not seem to hear us", m.id);
+        m.deaf = true;
+        m.deafSince = loop.now();
+        m.changed();
+        changed = true;
+        calls.due(m);
+    }
+
+    /** There is proof that something we said has reached the machine. */
+    void hears(Machine m) {
+        if (m.deaf) {
+            m.deaf = false;
+            changed = true;
+        }
+    }
+
+    /**
+     * Whether a machine has not heard us for so long that it is of no use. Should many seem deaf, then it is we who
+     * cannot be heard, and the machines are not to blame.
+     */
+    public boolean uselesslyDeaf(Machine m) {
+        if (!m.deaf || loop.now() < m.deafSince + 2 * settings.reportS()) {
+            return false;
+        }
+        long deaf = machines.values().stream().filter(other -> other.deaf).count();
+        return deaf <= Math.max(2, machines.size() * DEAF_SHARE);
+    }
+
     /** Whether most machines that are up have not been heard for a while. */
     public boolean mostlySilent(double forS) {
         int up = 0;
@@ -370,7 +428,14 @@
             return null;
         }
         Machine m = known(r.machine());
-        m.answeredAt = loop.now();
+        double now = loop.now();
+        if (Double.isNaN(m.firstAnsweredAt)) {
+            m.firstAnsweredAt = now;
+        }
+        m.answeredBefore = m.answeredAt;
+        // What is older than the newest message was sent before that one came. So however late it is, and whether it
+        // is a copy or not, our answer renews the lease for no longer than from then on: copies do not hold for ever.
+        m.answeredAt = !jobsRead || r.newerThan(m.session, m.seq) ? now : Math.max(m.answeredAt, m.heardAt);
         m.type = r.type();
         m.zone = r.zone();
         m.spot = r.spot();
@@ -401,8 +466,12 @@
                 over(a);
             }
             m.exited.clear();
-            m.session = r.session();
             m.changed();
+            // Its lease ran out although its reports were answered: it may not hear us.
+            if (m.session > 0 && now < m.answeredBefore + Settings.shrunk(settings.leaseS()) && !m.deaf) {
+                suspect(m);
+            }
+            m.session = r.session();
         }
         m.seq = r.seq();
         m.heardAt = now;
@@ -424,6 +493,9 @@
             m.noticeUntil = now + r.noticeS();
         }
         boolean settledNow = !m.settled && r.token() >= term;
+        if (settledNow) {
+            hears(m);
+        }
         // Most reports say nothing new, and there are hundreds in a second.
         if (!settledNow && !noticedNow && r.tasks().equals(m.applied)) {
             if (calls.needsCall(m)) {
@@ -455,6 +527,9 @@
                 notInRoster.add(m);
             }
         }
+        if (m.settled) {
+            stopDuplicates(m);
+        }
         if (m.attempts.isEmpty() != Double.isFinite(m.idleSince)) {
             m.idleSince = m.attempts.isEmpty() ? now : Double.POSITIVE_INFINITY;
         }
@@ -479,12 +554,18 @@
             }
             adopt(a, inRange ? job : null);
         }
+        if (a.state == Attempt.State.SENDING) {
+            hears(m);
+        }
         switch (t.state()) {
             case FETCHING -> a.state = Attempt.State.FETCHING;
             case RUNNING -> {
                 if (a.state != Attempt.State.RUNNING) {
                     a.fromStart = a.number >> TERM_SHIFT == term;
                     a.state = Attempt.State.RUNNING;
+                    if (job != null) {
+                        job.begun = true;
+                    }
                     a.runningSince = loop.now();
                     useImage(m, a);
                 }
@@ -504,22 +585,38 @@
     /** A task is on a machine without this leader having put it there: it was left by an earlier one. */
     private void adopt(Attempt a, Job job) {
         Attempt other = a.machine.attempts.put(a.task, a);
-        if (other != null && job != null && job.placed.get(a.task.index()) == other) {
-            job.placed.remove(a.task.index());
-        }
+        a.machine.changed();
         a.sent = true;
-        int index = a.task.index();
         if (job == null) {
             stop(a, 0, "its job is over");
-        } else if (job.done.get(index)) {
+            return;
+        }
+        job.enter(a);
+        if (other != null) {
+            job.leave(other);
+        }
+        if (job.done.get(a.task.index())) {
             stop(a, 0, "it is done already");
-        } else if (job.placed.containsKey(index)) {
-            LOG.warn("task {} is on {} and also on {}: stopped here", a.task, a.machine.id,
-                    job.placed.get(index).machine.id);
-            stop(a, 0, "it is elsewhere");
-        } else {
-            job.placed.put(index, a);
-            job.waiting.clear(index);
+        }
+    }
+
+    /**
+     * Stops what is in two places. As long as one of the machines is not settled, what it shows may be over: a late
+     * copy of an old report must not end what truly runs.
+     */
+    private void stopDuplicates(Machine m) {
+        for (Attempt a : m.allAttempts()) {
+            Job job = jobs.get(a.task.job());
+            if (job == null || job.others.isEmpty()) {
+                continue;
+            }
+            Attempt placed = job.placed.get(a.task.index());
+            for (Attempt o : job.attemptsAt(a.task.index())) {
+                if (o != placed && o.machine.settled && placed.machine.settled && !o.stopping && !placed.stopping) {
+                    LOG.warn("task {} is on {} and also on {}: stopped there", o.task, placed.machine.id, o.machine.id);
+                    stop(o, 0, "it is elsewhere");
+                }
+            }
         }
     }
 
@@ -537,9 +634,10 @@
                 job.done.set(a.task.index());
                 job.waiting.clear(a.task.index());
                 (job.complete() ? complete : unsaved).add(job);
-                Attempt other = job.placed.get(a.task.index());
-                if (other != null && other != a) {
-                    stop(other, 0, "it is done already");
+                for (Attempt other : job.attemptsAt(a.task.index())) {
+                    if (other != a) {
+                        stop(other, 0, "it is done already");
+                    }
                 }
             }
             job.failedOn.clear();
@@ -579,11 +677,8 @@
         }
         changed = true;
         Job job = jobs.get(a.task.job());
-        if (job != null && job.placed.get(a.task.index()) == a) {
-            job.placed.remove(a.task.index());
-            if (!job.done.get(a.task.index())) {
-                job.waiting.set(a.task.index());
-            }
+        if (job != null && a.task.index() < job.spec.tasks()) {
+            job.leave(a);
         }
     }
 
@@ -596,8 +691,7 @@
             return;
         }
         Attempt a = new Attempt(task, (term << TERM_SHIFT) + ++lastAttempt, m, job.spec, loop.now());
-        job.waiting.clear(task.index());
-        job.placed.put(task.index(), a);
+        job.enter(a);
         m.attempts.put(task, a);
         m.changed();
         m.idleSince = Double.POSITIVE_INFINITY;
--- a/src/main/java/org/saffronshore/cluster/Job.java
+++ b/src/main/java/org/saffronshore/cluster/Job.java
@@ -1,8 +1,10 @@
 package org.saffronshore.cluster;
 
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.wire.JobSpec;
@@ -18,6 +20,13 @@
     final BitSet saved;
     final BitSet waiting = new BitSet();
     final Map<Integer, Attempt> placed = new HashMap<>();
+    /**
+     * Attempts beside the placed one at the same task. After a change of leader a machine that is not settled may
+     * show what is not there any more, so a task may seem to be in two places; it may run in either.
+     */
+    final List<Attempt> others = new ArrayList<>(0);
+    /** Whether any task of it was seen to run. */
+    boolean begun;
     /** Machines on which a task of this job failed, since the last time one succeeded. */
     final Set<String> failedOn = new HashSet<>();
     double backOffUntil = Double.NEGATIVE_INFINITY;
@@ -34,6 +43,43 @@
         waiting.andNot(done);
     }
 
+    /** All attempts at a task that may be somewhere. */
+    List<Attempt> attemptsAt(int index) {
+        List<Attempt> all = new ArrayList<>(1);
+        if (placed.containsKey(index)) {
+            all.add(placed.get(index));
+        }
+        for (Attempt a : others) {
+            if (a.task.index() == index) {
+                all.add(a);
+            }
+        }
+        return all;
+    }
+
+    /** One more attempt at a task is, or may be, somewhere. */
+    void enter(Attempt a) {
+        if (placed.putIfAbsent(a.task.index(), a) != null) {
+            others.add(a);
+        }
+        waiting.clear(a.task.index());
+    }
+
+    /** The attempt is nowhere any more. The task waits again only when no other attempt at it may be somewhere. */
+    void leave(Attempt a) {
+        int index = a.task.index();
+        if (!others.remove(a) && placed.get(index) == a) {
+            placed.remove(index);
+            List<Attempt> left = attemptsAt(index);
+            if (!left.isEmpty()) {
+                others.remove(left.get(0));
+                placed.put(index, left.get(0));
+            } else if (!done.get(index)) {
+                waiting.set(index);
+            }
+        }
+    }
+
     public JobSpec spec() {
         return spec;
     }
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -29,7 +29,13 @@
     long deadSession = -1;
     /** The last moment at which the worker may have been told that its lease is renewed. */
     double answeredAt;
+    /** The same before the report that is being taken. */
+    double answeredBefore = Double.NEGATIVE_INFINITY;
+    double firstAnsweredAt = Double.NaN;
     double heardAt = Double.NEGATIVE_INFINITY;
+    /** Its reports come, but nothing that it is told seems to arrive. */
+    boolean deaf;
+    double deafSince;
     /** When the machine was first known to exist. */
     double knownSince;
     double rentedAt;
@@ -149,7 +155,7 @@
     /** Whether new tasks may be put here. */
     public boolean usable(double now) {
         return up && settled && inRoster && !returning && !draining && !failed && !noticed() && !distrusted() && now >= suspendedUntil
-                && !silent(now) && !unknownLoad();
+                && !silent(now) && !deaf && !unknownLoad();
     }
 
     /** Whether reports that were due have not come: it may hang, or be cut off. */
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -18,6 +18,9 @@
 
 /** The cluster as the cycle and the fleet look at it. Reads only. */
 final class Views {
+    /** A job of which nothing has run for so many leases goes first, with one task. */
+    private static final double PATIENCE_LEASES = 4;
+
     private final Cluster cluster;
     private final Loop loop;
     private final Settings settings;
@@ -80,7 +83,8 @@
         List<Forecast.Line> lines = new ArrayList<>();
         for (Machine m : cluster.machines()) {
             MachineType type = cluster.typeOf(m);
-            if (type == null || m.failed || m.returning || m.noticed() || m.distrusted()) {
+            if (type == null || m.failed || m.returning || m.noticed() || m.distrusted() || m.deaf
+                    || m.up && !m.settled && m.silent(now)) {
                 continue;
             }
             Kind kind = m.kind();
@@ -135,7 +139,9 @@
                     perZone.merge(a.machine.zone, 1, Integer::sum);
                 }
             }
-            all.add(new Pending(job.spec, job.version, job.waiting, perZone));
+            Pending pending = new Pending(job.spec, job.version, job.waiting, perZone);
+            boolean waitsLong = loop.wallMs() - job.submittedMs > 1000 * PATIENCE_LEASES * settings.leaseS();
+            all.add(waitsLong && !job.begun && job.done.isEmpty() && job.placed.isEmpty() ? pending.overdue() : pending);
         }
         return all;
     }
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -318,6 +318,9 @@
         if (!m.up()) {
             return "it is lost";
         }
+        if (cluster.uselesslyDeaf(m)) {
+            return "it does not hear us";
+        }
         if (!m.empty() || !m.settled()) {
             return null;
         }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -251,6 +251,7 @@
             return;
         }
         cluster.expireLeases();
+        cluster.findDeaf();
         cluster.retryCalls();
         act();
     }
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -34,6 +35,16 @@
     private double answeredAt = Double.NEGATIVE_INFINITY;
     /** When each peer last said that the state service serves it. */
     private final Map<String, Double> servedAt = new HashMap<>();
+    private long sent;
+    /** The number of the latest message of each process that was heard. */
+    private final Map<String, Long> latest = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > 16 * settings.controllers();
+        }
+    };
     private Map<String, Progress> progress = Map.of();
     private long progressTerm;
 
@@ -127,7 +138,21 @@
 
     private ObjectNode self() {
         return Json.object().put("node", settings.node()).put("life", node.leadership().incarnation())
-                .put("served", node.served());
+                .put("n", ++sent).put("served", node.served());
+    }
+
+    /**
+     * Whether a message is a copy, or was overtaken by a later one of the same process. Were a candidate's
+     * "I give up" to come after it had asked for time once more, the time it leads on would be given away again.
+     */
+    private boolean outdated(String from, String life, long n) {
+        String process = from + "/" + life;
+        Long last = latest.get(process);
+        if (last != null && n <= last) {
+            return true;
+        }
+        latest.put(process, n);
+        return false;
     }
 
     @Override
@@ -181,7 +206,9 @@
         }
         long term = Json.count(message, "term", -1);
         ObjectNode answer = self();
-        if (path.equals(GIVE_UP)) {
+        if (outdated(from, life, Json.count(message, "n", 0))) {
+            answer.put("granted", false);
+        } else if (path.equals(GIVE_UP)) {
             node.leadership().peerGaveUp(from, life, term);
         } else {
             if (path.equals(HELLO)) {
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -25,6 +25,10 @@
         JobSpec job() {
             return evicted != null ? evicted.job() : pending.job;
         }
+
+        boolean overdue() {
+            return pending != null && pending.isOverdue();
+        }
     }
 
     private final Collection<Host> hosts;
@@ -60,7 +64,8 @@
 
     private void queue(Collection<Pending> jobs) {
         List<Pending> ordered = new ArrayList<>(jobs);
-        ordered.sort(Comparator.comparing((Pending p) -> -p.job.priority().ordinal()).thenComparing(p -> p.order));
+        ordered.sort(Comparator.comparing((Pending p) -> !p.isOverdue())
+                .thenComparing(p -> -p.job.priority().ordinal()).thenComparing(p -> p.order));
         for (Pending p : ordered) {
             if (!p.isEmpty() && teams.containsKey(p.job.team())) {
                 queues.computeIfAbsent(p.job.team(), t -> new ArrayList<>()).add(new Entry(p, null, null));
@@ -105,14 +110,15 @@
     /** Evicted tasks head their queues, in each class. */
     private void sortByClass(Set<String> names) {
         for (String name : names) {
-            queues.get(name).sort(Comparator.comparingInt((Entry e) -> -e.job().priority().ordinal()));
+            queues.get(name).sort(Comparator.comparing((Entry e) -> !e.overdue())
+                    .thenComparingInt(e -> -e.job().priority().ordinal()));
         }
     }
 
     /** What the next entry of a team stands for when teams are compared. */
-    private record Head(String team, boolean guaranteed, int priority, double fraction, int rank) {
-        static final Comparator<Head> ORDER = Comparator.comparing((Head h) -> !h.guaranteed)
-                .thenComparingInt(h -> -h.priority).thenComparingDouble(Head::fraction).thenComparingInt(Head::rank);
+    private record Head(String team, boolean overdue, boolean guaranteed, int priority, double fraction, int rank) {
+        static final Comparator<Head> ORDER = Comparator.comparing((Head h) -> !h.overdue)
+                .thenComparing(h -> !h.guaranteed).thenComparingInt(h -> -h.priority).thenComparingDouble(Head::fraction).thenComparingInt(Head::rank);
     }
 
     /**
@@ -142,9 +148,10 @@
     }
 
     private Head head(String name, int index, int rank) {
-        JobSpec job = queues.get(name).get(index).job();
+        Entry entry = queues.get(name).get(index);
+        JobSpec job = entry.job();
         Team team = teams.get(name);
-        return new Head(name, team.withinGuarantee(job), job.priority().ordinal(), team.fraction(tuning.cost(job)), rank);
+        return new Head(name, entry.overdue(), team.withinGuarantee(job), job.priority().ordinal(), team.fraction(tuning.cost(job)), rank);
     }
 
     /** Places one task of the entry; true when the entry has nothing more to place. */
@@ -170,6 +177,9 @@
             host = preempt(pending, task, team);
         }
         if (host == null) {
+            if (pending.isOverdue()) {
+                keepRoom(pending, task);
+            }
             unmet.put(pending, team.tasksWithinLimit(job, pending.left()));
             return true;
         }
@@ -212,6 +222,25 @@
         return best;
     }
 
+    /**
+     * The exception to the design's order that keeps anybody from starving: a job that has waited for very long, and
+     * of which nothing has ever run, comes first with one task; and if that task fits nowhere, the machine with the
+     * most room for it takes nothing else in this cycle. Small tasks would fill every gap before it is large enough.
+     */
+    private void keepRoom(Pending pending, TaskId task) {
+        Host most = null;
+        for (Host host : hosts) {
+            if (host.cpus + 1e-6 >= pending.job.cpus() && !host.kept() && host.kind.allows(pending.job)
+                    && pending.zoneAllowed(host.kind.zone()) && !host.barred(task)
+                    && (most == null || host.room.cpus > most.room.cpus)) {
+                most = host;
+            }
+        }
+        if (most != null) {
+            most.keep();
+        }
+    }
+
     private static boolean better(Host a, Host b, JobSpec job) {
         boolean nowA = a.free.fits(job);
         if (nowA != b.free.fits(job)) {
@@ -248,7 +277,7 @@
         boolean narrowed = false;
         for (Host host : hosts) {
             if (!host.hasBelow(job.priority().ordinal()) && !(guaranteed && host.hasOthers(job.team()))
-                    || !host.kind.allows(job)) {
+                    || !host.kind.allows(job) || host.kept()) {
                 continue;
             }
             if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -28,6 +28,7 @@
     /** The lowest class among the tasks that could be stopped, as an ordinal. */
     private int lowest = Integer.MAX_VALUE;
     private boolean touched;
+    private boolean kept;
 
     /**
      * @param barred tasks that may not be put here
@@ -82,6 +83,17 @@
         teams.merge(job.team(), 1, Integer::sum);
     }
 
+    /** Takes nothing more in this cycle. */
+    void keep() {
+        touched = true;
+        kept = true;
+        room.cpus = 0;
+    }
+
+    boolean kept() {
+        return kept;
+    }
+
     boolean barred(TaskId task) {
         return barred.test(task);
     }
--- a/src/main/java/org/saffronshore/scheduling/Pending.java
+++ b/src/main/java/org/saffronshore/scheduling/Pending.java
@@ -12,6 +12,7 @@
     public final long order;
     private final BitSet tasks;
     private final Map<String, Integer> perZone;
+    private boolean overdue;
     private int next;
     private int left;
 
@@ -28,6 +29,17 @@
         this.left = tasks.cardinality();
     }
 
+    /** The job has waited for very long, and nothing of it has ever run. */
+    public Pending overdue() {
+        overdue = true;
+        return this;
+    }
+
+    /** Whether its next task goes before all others; once one is placed, the job queues like any other. */
+    boolean isOverdue() {
+        return overdue;
+    }
+
     /** Whether the job's rules ask where its other tasks are. */
     public static boolean zonesMatter(JobSpec job) {
         return job.oneZone() || job.spread();
@@ -51,6 +63,7 @@
     void entered(String zone) {
         next = tasks.nextSetBit(next + 1);
         left--;
+        overdue = false;
         if (zonesMatter(job)) {
             perZone.merge(zone, 1, Integer::sum);
         }
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -15,9 +15,13 @@
     /** What is answered here, without asking, when the node's budget is spent. */
     private static final Answer OVER_BUDGET = new Answer(429, new byte[0]);
 
+    /** What users' requests are answered here while the service says nothing at all: they need not wait for that. */
+    private static final Answer SILENT = new Answer(503, new byte[0]);
+
     /** Users wait two seconds for the answer to a question; this leaves a node time to say that it has none. */
     public static final double TIMEOUT_S = 1.5;
     private static final int PAGE = 500;
+    private static final int SILENT_AFTER = 3;
     /** The leader's part of all requests and of all writes; the rest is shared out evenly, to it as well. */
     private static final double LEADER_REQUESTS = 0.15;
     private static final double LEADER_WRITES = 0.3;
@@ -35,6 +39,10 @@
     /** When the service last answered a request of this node with anything but a refusal. */
     private double answeredAt = Double.NEGATIVE_INFINITY;
 
+    /** Requests in a row that got no answer at all, and when the last of them was made. */
+    private int lost;
+    private double triedAt;
+
     public StateClient(Loop loop, Client client, Settings settings) {
         this.loop = loop;
         this.client = client;
@@ -67,7 +75,13 @@
             loop.soon(() -> then.receive(OVER_BUDGET));
             return;
         }
+        if (lost >= SILENT_AFTER && !vital && loop.now() < triedAt + timeoutS) {
+            loop.soon(() -> then.receive(SILENT));
+            return;
+        }
+        triedAt = loop.now();
         client.send(settings.state(), method, path, body, timeoutS, answer -> {
+            lost = answer.status() > 0 ? 0 : lost + 1;
             if (answer.status() > 0 && answer.status() < 429) {
                 answeredAt = loop.now();
             }
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -347,4 +347,209 @@
         assertTrue(m.draining() && !m.usable(loop.now()));
         assertFalse(placeable(), "it is there until it has saved");
     }
+
+    // A machine that hears nothing
+
+    private Cluster.Call lostLaunch(Machine m) {
+        Cluster.Call call = launch(m);
+        cluster.called(call, false, false, null);
+        return call;
+    }
+
+    /** Reports, sessions and answers to calls of a machine, and whether it still gets work and is worth its price. */
+    @ParameterizedTest
+    @CsvSource({
+        "session rises although answered,     false, true", "session rises after a silence,       true, false",
+        "launch is never seen,                false, true", "launch is seen,                      true, false",
+        "session rises and a call is answered, true, false"})
+    void aMachineThatHearsNothingGetsNoWorkAndIsReturned(String what, boolean usable, boolean returned) {
+        Machine m = up("host-1");
+        job(101);
+        long session = 1;
+        if (what.startsWith("launch")) {
+            Cluster.Call call = lostLaunch(m);
+            if (what.endsWith("is seen")) {
+                cluster.reported(report("host-1", 1, ++seq, TERM, task("wk-1", 0, call.launches().get(0).number(),
+                        State.RUNNING, Why.NONE)), true);
+            }
+        } else {
+            session = 2;
+            loop.pass(what.contains("silence") ? Samples.LEASE_S + 1 : 3);
+        }
+        for (int i = 0; i < 9; i++) {
+            if (m.count() == 0 || !what.equals("launch is seen")) {
+                cluster.reported(report("host-1", session, ++seq, TERM), true);
+            } else {
+                m.heardAt = loop.now();
+            }
+            cluster.findDeaf();
+            if (what.endsWith("is answered")) {
+                cluster.called(new Cluster.Call(m, 2, List.of(), List.of()), true, false, report("host-1", 2, ++seq, TERM));
+            }
+            loop.pass(3);
+        }
+        assertEquals(usable, m.usable(loop.now()));
+        assertEquals(returned, cluster.uselesslyDeaf(m));
+    }
+
+    /** It never shows the new term's token; older jobs wait for it only until the cloud has taken it back. */
+    @Test
+    void aMachineThatNeverLearnsOfTheTermHoldsUpNobody() {
+        cluster.addRoster("host-1", 60);
+        job(1);
+        for (int i = 0; i < 8; i++) {
+            cluster.reported(report("host-1", 1, ++seq, TERM - 1), true);
+            cluster.findDeaf();
+            loop.pass(3);
+        }
+        cluster.reported(report("host-1", 2, ++seq, TERM - 1), true);
+        assertFalse(placeable(), "an order of an earlier leader, which knew this session, may still arrive");
+        assertTrue(cluster.uselesslyDeaf(cluster.machine("host-1")));
+        cluster.gone(cluster.machine("host-1"), "returned");
+        assertTrue(placeable());
+    }
+
+    /** In the term that started it, the next session of a deaf machine is proof that the task is not there. */
+    @Test
+    void theNextSessionFreesWhatADeafMachineHeld() {
+        Machine m = up("host-1");
+        job(101);
+        lostLaunch(m);
+        cluster.reported(report("host-1", 1, ++seq, TERM), true);
+        assertFalse(placeable(), "the launch may yet arrive");
+        cluster.reported(report("host-1", 2, ++seq, TERM), true);
+        assertTrue(placeable());
+        assertFalse(m.usable(loop.now()), "but not there");
+    }
+
+    /** When most machines seem deaf, it is this node that cannot be heard. */
+    @Test
+    void aLeaderThatNobodyHearsReturnsNothing() {
+        List<Machine> all = new java.util.ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            all.add(up("host-" + i));
+        }
+        for (Machine m : all) {
+            cluster.reported(report(m.id(), 2, ++seq, TERM), true);
+        }
+        loop.pass(7);
+        assertTrue(all.stream().noneMatch(cluster::uselesslyDeaf));
+    }
+
+    // Late copies of reports
+
+    /** A copy of a report, and what it must not do to a task that runs on host-1, session 2, of this term. */
+    @ParameterizedTest
+    @CsvSource({"2, 5, EXITED", "2, 5, none", "1, 90, none", "1, 90, RUNNING", "2, 9, none"})
+    void aLateCopyChangesNothing(long session, long tick, String shows) {
+        cluster.reported(report("host-1", 2, 1, TERM), true);
+        Machine m = cluster.machine("host-1");
+        cluster.inRoster(List.of(m));
+        job(101);
+        long attempt = launch(m).launches().get(0).number();
+        Report.Task running = task("wk-1", 0, attempt, State.RUNNING, Why.NONE);
+        cluster.reported(new Report("host-1", "10.1.0.1:9000", "big", "a", true, 2, 9, TERM, 60.0, List.of(running)), true);
+        Report copy = shows.equals("none") ? report("host-1", session, tick, TERM)
+                : report("host-1", session, tick, TERM, task("wk-1", 0, attempt, State.valueOf(shows), Why.ERROR));
+        cluster.reported(copy, true);
+        assertEquals(1, cluster.job("wk-1").running());
+        assertFalse(placeable());
+        assertEquals(2, m.session);
+        assertTrue(m.noticed(), "a notice is not undone");
+    }
+
+    /** Copies hold what a lost machine had for a lease from its last true word, and no longer. */
+    @Test
+    void copiesDoNotHoldALostMachinesTasksWithoutEnd() {
+        Machine m = up("host-1");
+        job(101);
+        long attempt = launch(m).launches().get(0).number();
+        Report last = report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE));
+        cluster.reported(last, true);
+        for (int i = 0; i < (int) Samples.LEASE_S; i++) {
+            loop.pass(1);
+            cluster.reported(last, true);
+            cluster.expireLeases();
+            assertFalse(placeable(), "its lease may run");
+        }
+        loop.pass(1);
+        cluster.reported(last, true);
+        cluster.expireLeases();
+        assertTrue(placeable());
+        cluster.reported(last, true);
+        assertTrue(placeable(), "a copy over a lease old brings nothing back");
+        assertFalse(m.usable(loop.now()));
+        assertEquals(0, cluster.hosts().size());
+    }
+
+    /** An original that is late may still be answered in time, and so renews the lease from when it was sent. */
+    @Test
+    void aLateOriginalMayRenewTheLease() {
+        Machine m = up("host-1");
+        job(101);
+        Cluster.Call call = launch(m);
+        loop.pass(Samples.LEASE_S - 1);
+        Report.Task running = task("wk-1", 0, call.launches().get(0).number(), State.RUNNING, Why.NONE);
+        cluster.called(call, true, false, report("host-1", 1, 60, TERM, running));
+        loop.pass(2);
+        cluster.reported(report("host-1", 1, 59, TERM), true);
+        cluster.expireLeases();
+        assertFalse(placeable());
+        loop.pass(Samples.LEASE_S + 1);
+        cluster.expireLeases();
+        assertTrue(placeable());
+    }
+
+    @Test
+    void aCopyBringsNoReturnedMachineBack() {
+        Machine m = up("host-1");
+        cluster.gone(m, "returned");
+        assertNull(cluster.reported(report("host-1", 1, 99, TERM), true));
+        assertNull(cluster.machine("host-1"));
+    }
+
+    /** After a change of leader nothing newer is known: a copy of long ago must not pass for a machine with room. */
+    @Test
+    void aCopyFromAnEarlierTermIsNoCapacity() {
+        cluster.reported(report("host-1", 1, 99, TERM - 2), true);
+        assertEquals(0, cluster.hosts().size());
+        loop.pass(10);
+        assertEquals(0, cluster.lines(1.6).size(), "nor is it counted on when machines are rented");
+        cluster.listedOnly(Set.of(), loop.now() + 20);
+        assertNull(cluster.machine("host-1"));
+    }
+
+    /** A copy shows a task where it is not any more; the machine where it truly runs must not lose it. */
+    @Test
+    void aCopyDoesNotEndWhatTrulyRunsElsewhere() {
+        cluster.addRoster("host-1", 60);
+        cluster.addRoster("host-2", 60);
+        job(1);
+        Report.Task old = task("wk-1", 0, 7, State.RUNNING, Why.NONE);
+        Report.Task now = task("wk-1", 0, 8, State.RUNNING, Why.NONE);
+        cluster.reported(report("host-1", 1, 5, TERM - 1, old), true);
+        cluster.reported(report("host-2", 1, 1, TERM, now), true);
+        Machine second = cluster.machine("host-2");
+        assertFalse(second.attempts().iterator().next().stopping());
+        cluster.reported(report("host-1", 1, 90, TERM), true);
+        assertFalse(placeable(), "it runs on host-2");
+        assertEquals(1, cluster.job("wk-1").running());
+    }
+
+    /** What is in two places is stopped in one; and only when it is in neither may it start again. */
+    @Test
+    void aTaskInTwoPlacesWaitsForBoth() {
+        cluster.addRoster("host-1", 60);
+        cluster.addRoster("host-2", 60);
+        job(1);
+        cluster.reported(report("host-1", 1, 5, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)), true);
+        cluster.reported(report("host-2", 1, 5, TERM, task("wk-1", 0, 8, State.RUNNING, Why.NONE)), true);
+        Machine first = cluster.machine("host-1");
+        Machine second = cluster.machine("host-2");
+        assertEquals(1, List.of(first, second).stream().filter(m -> m.attempts().iterator().next().stopping()).count());
+        cluster.reported(report("host-1", 1, 6, TERM), true);
+        assertFalse(placeable());
+        cluster.reported(report("host-2", 1, 6, TERM), true);
+        assertTrue(placeable());
+    }
 }
--- a/src/test/java/org/saffronshore/scheduling/CycleTest.java
+++ b/src/test/java/org/saffronshore/scheduling/CycleTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -215,6 +216,29 @@
         assertEquals(List.of(), run(0).placements().stream().filter(p -> p.task().index() == 0).toList());
     }
 
+    /**
+     * A large standard job that has waited for very long beside a queue of urgent ones, a machine of 8 CPUs on which
+     * some are free: what the cycle places. It gets one task, or else the room is kept until it is large enough.
+     */
+    @ParameterizedTest
+    @CsvSource({"false, 8, urgent urgent", "true, 8, standard", "false, 4, urgent", "true, 4, ''",
+        "true, 16, standard urgent urgent"})
+    void nobodyStarves(boolean overdue, double free, String placed) {
+        team("F", 0, 0);
+        team("H", 0, 0);
+        Host host = host("one", "a", false, Math.max(8, free));
+        if (free < 8) {
+            running(host, Samples.job("wk-9", "H", Priority.URGENT, 1, 8 - free), 0, 1);
+        }
+        queued(Samples.job("wk-1", "F", Priority.STANDARD, 20, 8), 1);
+        queued(Samples.job("wk-2", "H", Priority.URGENT, 2, 4), 2);
+        if (overdue) {
+            jobs.set(0, jobs.get(0).overdue());
+        }
+        assertEquals(placed, run(0).placements().stream()
+                .map(p -> p.task().job().equals("wk-1") ? "standard" : "urgent").collect(Collectors.joining(" ")));
+    }
+
     /** What makes the cycle fast must not change what it decides. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
