--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -181,10 +181,6 @@
         return images.keySet();
     }
 
-    public double cachedGb() {
-        return images.values().stream().mapToDouble(Double::doubleValue).sum();
-    }
-
     void usesImage(String image, double gb, double cacheGb) {
         images.put(image, gb);
         double sum = 0;
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -37,7 +37,7 @@
     /** Boots later than this, as a multiple of the usual time, are not counted on, and later than that given up. */
     private static final double LATE_BOOT = 1.6;
     private static final double LOST_BOOT = 3;
-    /** An idle machine is kept for this share of the time that a new one takes to boot and to fetch its images. */
+    /** An idle machine is kept for this share of the time that a new one takes to boot. */
     private static final double IDLE_KEPT = 0.25;
 
     /** Room for this many typical jobs of each class is kept although it is idle. */
@@ -333,8 +333,7 @@
         if (m.noticed()) {
             return "it is to be taken back, and is empty";
         }
-        double rebuild = boot + (type == null || type.fetchGbPerS() <= 0 ? 0 : m.cachedGb() / type.fetchGbPerS());
-        boolean idle = now > m.idleSince() + IDLE_KEPT * rebuild && now > m.rentedAt() + LEAST_CHARGED_S;
+        boolean idle = now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + LEAST_CHARGED_S;
         return idle && !spare.needs(m) ? "it is idle" : null;
     }
 
