Small machines for what stands on large ones that others wait for

Cause: manifiesto-diario fits cantabrico-16 only, of which the cloud has 226; urgent small tasks stood on them while 900 small machines were not rented, since small tasks found a place at once.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -12,6 +12,7 @@
 import org.saffronshore.config.Settings;
 import org.saffronshore.config.Settings.Address;
 import org.saffronshore.fleet.Arrivals;
+import org.saffronshore.fleet.Displaced;
 import org.saffronshore.fleet.Forecast;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Host;
@@ -818,8 +819,12 @@
         return views.freeOn(m);
     }
 
-    public List<Forecast.Line> lines(double lateBoot) {
-        return views.lines(lateBoot);
+    public List<Forecast.Line> lines(double lateBoot, boolean released) {
+        return views.lines(lateBoot, released);
+    }
+
+    public List<Displaced.Running> runningOn(Set<String> someTypes) {
+        return views.runningOn(someTypes);
     }
 
     public List<Host> hosts() {
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.saffronshore.config.Settings;
+import org.saffronshore.fleet.Displaced;
 import org.saffronshore.fleet.Forecast;
 import org.saffronshore.fleet.Kind;
 import org.saffronshore.http.Loop;
@@ -77,8 +80,12 @@
         return room;
     }
 
-    /** What the fleet may count on: machines that are up or coming, and when their room becomes free. */
-    List<Forecast.Line> lines(double lateBoot) {
+    /**
+     * What the fleet may count on: machines that are up or coming.
+     *
+     * @param released whether to count what running tasks will leave
+     */
+    List<Forecast.Line> lines(double lateBoot, boolean released) {
         double now = loop.now();
         List<Forecast.Line> lines = new ArrayList<>();
         for (Machine m : cluster.machines()) {
@@ -94,7 +101,9 @@
                 for (Attempt a : m.attempts.values()) {
                     if (a.job != null) {
                         room.take(a.job);
-                        line.running(a.job, now + cluster.remainingS(a, now));
+                        if (released) {
+                            line.running(a.job, now + cluster.remainingS(a, now));
+                        }
                     }
                 }
                 lines.add(line);
@@ -105,6 +114,25 @@
         return lines;
     }
 
+    /** How many tasks of each job there are on machines of some types. */
+    List<Displaced.Running> runningOn(Set<String> types) {
+        Map<String, Map<String, Displaced.Running>> all = new HashMap<>();
+        for (Machine m : cluster.machines()) {
+            if (m.up && types.contains(m.type)) {
+                for (Attempt a : m.attempts.values()) {
+                    if (a.job != null) {
+                        all.computeIfAbsent(m.type, t -> new LinkedHashMap<>()).merge(a.job.id(),
+                                new Displaced.Running(m.type, a.job, 1),
+                                (r, one) -> new Displaced.Running(r.type(), r.job(), r.tasks() + 1));
+                    }
+                }
+            }
+        }
+        List<Displaced.Running> list = new ArrayList<>();
+        all.values().forEach(jobs -> list.addAll(jobs.values()));
+        return list;
+    }
+
     /** Machines that can take tasks. What did not change since the last time is not made anew. */
     List<Host> hosts() {
         double now = loop.now();
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -16,6 +16,7 @@
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.Arrivals;
+import org.saffronshore.fleet.Displaced;
 import org.saffronshore.fleet.FleetPlan;
 import org.saffronshore.fleet.Forecast;
 import org.saffronshore.fleet.Kind;
@@ -219,19 +220,54 @@
                 perZone.merge(m.zone(), 1, Integer::sum);
             }
         }
-        List<Forecast.Line> lines = cluster.lines(LATE_BOOT);
+        orders.values().forEach(o -> perZone.merge(o.kind.zone(), o.count, Integer::sum));
+        List<Plan.Unmet> late = Forecast.late(lines(true), unmet, cluster::lastsS, job -> now + boot(job));
+        FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
+                .forEach(this::order);
+        makeWay(late, perZone, now);
+        double took = loop.now() - now;
+        rentAgainAt = loop.now() + Math.max(settings.reportS() / 12, took / RENT_SHARE);
+    }
+
+    /** Machines that are up, coming or asked for. */
+    private List<Forecast.Line> lines(boolean released) {
+        List<Forecast.Line> lines = cluster.lines(LATE_BOOT, released);
         for (Order o : orders.values()) {
-            perZone.merge(o.kind.zone(), o.count, Integer::sum);
             MachineType type = cluster.types().get(o.kind.type());
             for (int i = 0; i < o.count && type != null; i++) {
                 lines.add(new Forecast.Line(o.kind, Room.of(type), o.askedAt + type.bootS()));
             }
         }
-        List<Plan.Unmet> late = Forecast.late(lines, unmet, cluster::lastsS, job -> now + boot(job));
-        FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
-                .forEach(this::order);
-        double took = loop.now() - now;
-        rentAgainAt = loop.now() + Math.max(settings.reportS() / 12, took / RENT_SHARE);
+        return lines;
+    }
+
+    /** Rents for tasks that stand in the way of others, where that is no dearer than what they stand on. */
+    private void makeWay(List<Plan.Unmet> late, Map<String, Integer> perZone, double now) {
+        Set<String> scarce = new HashSet<>();
+        double dearest = 0;
+        for (MachineType type : cluster.types().values()) {
+            if (type.zones().stream().allMatch(zone -> refusals.containsKey(new Kind(type.name(), zone, true))
+                    && refusals.containsKey(new Kind(type.name(), zone, false)))) {
+                scarce.add(type.name());
+                dearest = Math.max(dearest, type.price() / type.cpus());
+            }
+        }
+        if (scarce.isEmpty() || late.isEmpty() || scarce.size() == cluster.types().size()) {
+            return;
+        }
+        double limit = dearest;
+        List<Plan.Unmet> displaced = Displaced.find(cluster.types(), scarce, late, cluster.runningOn(scarce));
+        if (displaced.isEmpty()) {
+            return;
+        }
+        // What is free on the others now, not what will be: their own like goes on coming, and takes that.
+        List<Forecast.Line> others = lines(false).stream().filter(l -> !scarce.contains(l.kind().type())).toList();
+        List<Plan.Unmet> homeless = Forecast.late(others, displaced, cluster::lastsS, job -> now + boot(job));
+        FleetPlan.orders(cluster.types(), homeless, perZone, kind -> {
+            MachineType type = cluster.types().get(kind.type());
+            double price = kind.spot() ? type.spotPrice() : type.price();
+            return !scarce.contains(kind.type()) && available(kind, now) && price / type.cpus() <= limit;
+        }).forEach(this::order);
     }
 
     /** What the cloud takes in about two seconds: more would only wait here, and be out of date by then. */
@@ -401,6 +437,8 @@
                 for (String name : names) {
                     Machine m = cluster.machine(name);
                     if (m != null) {
+                        // What was given back can be had again.
+                        refusals.remove(m.kind());
                         cluster.gone(m, "returned");
                     }
                 }
--- a/src/main/java/org/saffronshore/fleet/Forecast.java
+++ b/src/main/java/org/saffronshore/fleet/Forecast.java
@@ -32,6 +32,10 @@
             this.openAt = openAt;
         }
 
+        public Kind kind() {
+            return kind;
+        }
+
         /** A task that is there already and is expected to end at a time. */
         public void running(JobSpec job, double until) {
             int i = releases.size();
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -514,7 +514,7 @@
         cluster.reported(report("host-1", 1, 99, TERM - 2), true);
         assertEquals(0, cluster.hosts().size());
         loop.pass(10);
-        assertEquals(0, cluster.lines(1.6).size(), "nor is it counted on when machines are rented");
+        assertEquals(0, cluster.lines(1.6, true).size(), "nor is it counted on when machines are rented");
         cluster.listedOnly(Set.of(), loop.now() + 20);
         assertNull(cluster.machine("host-1"));
     }
--- a/src/test/java/org/saffronshore/fleet/FleetTest.java
+++ b/src/test/java/org/saffronshore/fleet/FleetTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -61,6 +62,15 @@
         assertEquals(late, left.stream().mapToInt(Plan.Unmet::tasks).sum());
     }
 
+    /** Small tasks on the large machine, what waits, and how many of the small ones are to go elsewhere. */
+    @ParameterizedTest
+    @CsvSource({"8, 1, large, 2", "8, 9, large, 4", "4, 1, large, 0", "8, 1, '', 0", "17, 1, large, 0"})
+    void whatStandsInTheWayGoesElsewhere(double waitingCpus, int waiting, String scarce, int displaced) {
+        var found = Displaced.find(TYPES, Set.of(scarce), List.of(new Plan.Unmet(job(waitingCpus, true, null), waiting)),
+                List.of(new Displaced.Running("large", job(4, true, null), 4), new Displaced.Running("small", job(4, true, null), 4)));
+        assertEquals(displaced, found.stream().mapToInt(Plan.Unmet::tasks).sum());
+    }
+
     @Test
     void expectsClassesThatStillCome() {
         Arrivals arrivals = new Arrivals();
