--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -21,7 +21,6 @@
 import org.saffronshore.state.StateClient;
 import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.Json;
-import org.saffronshore.wire.MachineType;
 import org.saffronshore.wire.Report;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,7 +44,7 @@
     private final AdminApi admin;
     private final Admission admission;
     private final Redirects redirects;
-    private Map<String, MachineType> types = Map.of();
+    private final TypeFeed types;
     private Leader leader;
 
     public Node(Loop loop, Settings settings, Client client, RandomGenerator random) {
@@ -58,7 +57,12 @@
         this.cloud = new CloudClient(loop, client, settings);
         this.peers = new PeerLink(this);
         this.leadership = new Leadership(loop, state, settings, random, this, peers);
-        this.users = new UserApi(loop, settings, store, metrics, () -> types, this::progress);
+        this.types = new TypeFeed(this, now -> {
+            if (leader != null) {
+                leader.cluster().types(now);
+            }
+        });
+        this.users = new UserApi(loop, settings, store, metrics, types::types, this::progress);
         this.admin = new AdminApi(state, metrics, settings.teams().keySet(), this::status);
         this.admission = new Admission(loop, Map.of(Admission.Rank.REPORT, settings.sockets(),
                 Admission.Rank.DECISION, MOST_QUEUED, Admission.Rank.SUBMISSION, MOST_QUEUED));
@@ -113,7 +117,7 @@
     public void start() {
         leadership.start();
         peers.start();
-        readTypes();
+        types.start();
         loop.every(settings.reportS() / 3, this::probeState);
         watchLoop();
     }
@@ -184,7 +188,7 @@
     private void health(Request request, Reply reply) {
         if (!request.is("GET")) {
             reply.error(405, "GET only");
-        } else if (types.isEmpty() || !served() && (peers.peerServed() || peers.alone(settings.reportS()))) {
+        } else if (types.types().isEmpty() || !served() && (peers.peerServed() || peers.alone(settings.reportS()))) {
             reply.later(503, "not ready", 1);
         } else {
             reply.json(200, Json.object().put("ok", true));
@@ -202,24 +206,6 @@
         }
     }
 
-    private void readTypes() {
-        cloud.types(answer -> {
-            boolean read = false;
-            try {
-                if (answer.ok()) {
-                    types = MachineType.parseAll(answer.json());
-                    read = !types.isEmpty();
-                    if (leader != null) {
-                        leader.cluster().types(types);
-                    }
-                }
-            } catch (InvalidField e) {
-                LOG.error("the cloud's machine types cannot be read: {}", e.getMessage());
-            }
-            loop.after(read ? settings.leaseS() : settings.reportS() / 3, this::readTypes);
-        });
-    }
-
     private void report(Request request, Reply reply) {
         metrics.add(Metrics.Count.REPORTS, 1);
         double began = loop.now();
@@ -291,8 +277,9 @@
         metrics.add(Metrics.Count.TERMS, 1);
         state.leading(true);
         leader = new Leader(this, term, keyVersion);
-        leader.cluster().types(types);
+        leader.cluster().types(types.types());
         leader.start();
+        types.keep();
     }
 
     @Override
--- a/src/main/java/org/saffronshore/state/Keys.java
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -12,6 +12,8 @@
     public static final String ROSTER = "r/";
     public static final String LEADER = "l/leader";
     public static final String TERM = "t/term";
+    /** The cloud's machine types as they were last seen, for a node that starts while the cloud is away. */
+    public static final String TYPES = "m/types";
     public static final String OPERATOR = "o/settings";
 
     private Keys() {}
--- a/src/main/java/org/saffronshore/wire/MachineType.java
+++ b/src/main/java/org/saffronshore/wire/MachineType.java
@@ -25,6 +25,12 @@
         return all;
     }
 
+    /** Whether it differs from another in nothing but the price that moves. */
+    public boolean sameButForPrices(MachineType other) {
+        return other != null && equals(new MachineType(other.name, other.cpus, other.gpus, other.memoryGb, other.cacheGb,
+                other.fetchGbPerS, price, spotPrice, other.bootS, other.zones));
+    }
+
     public boolean fits(JobSpec job) {
         return cpus >= job.cpus() && gpus >= job.gpus() && memoryGb >= job.memoryGb()
                 && (job.types() == null || job.types().contains(name))
--- a/src/test/java/org/saffronshore/control/NodeTest.java
+++ b/src/test/java/org/saffronshore/control/NodeTest.java
@@ -37,6 +37,7 @@
     private final Map<Address, Worker> workers = new LinkedHashMap<>();
     private final List<String> starts = new ArrayList<>();
     private Process process;
+    private boolean cloudAway;
 
     /** One life of a controller: once killed, it neither hears nor is heard. */
     private final class Process implements Client {
@@ -71,7 +72,7 @@
             if (to.host().equals("10.2.0.1")) {
                 state.send(to, method, path, body, timeoutS, alive);
             } else if (to.host().equals("10.2.0.2")) {
-                loop.after(0.01, () -> alive.receive(cloud(path, body)));
+                loop.after(0.01, () -> alive.receive(cloudAway ? new Answer(503, new byte[0]) : cloud(path, body)));
             } else if (workers.containsKey(to)) {
                 loop.after(0.001, () -> alive.receive(workers.get(to).command(Json.parse(body))));
             } else {
@@ -284,6 +285,21 @@
         assertFalse(process.ask("POST", "/work", job("wk-1", 1).toJson(), 201).isNull());
     }
 
+    /** Controllers that are restarted while the cloud's interface is away go on with the machines that there are. */
+    @Test
+    void aStartWithoutTheCloudKnowsTheMachineTypes() throws InvalidField {
+        process.ask("POST", "/work", job("wk-1", 4).toJson(), 201);
+        loop.pass(10);
+        cloudAway = true;
+        process.dead = true;
+        process = new Process("n-0");
+        loop.pass(3);
+        process.ask("GET", "/healthz", null, 200);
+        process.ask("POST", "/work", job("wk-2", 1).toJson(), 201);
+        loop.pass(RUN_S * 2);
+        assertEquals("done", status("wk-2"));
+    }
+
     // A controller with only its workers
 
     /** Cut off from the state service and from its peers, which it has, but not from its workers. */
