Write down what silent machines hold, so that a change of leader waits for little

Now a machine whose reports stop gets nothing more, its place in the roster says what it holds, and it gets work again only when that is taken back.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -44,7 +44,7 @@
     /** A job that failed on this many machines in a row is itself at fault. */
     private static final int BAD_JOB_MACHINES = 3;
     /** A machine counts as silent when it has let this many reports be missed. */
-    private static final double MISSED_REPORTS = 2.2;
+    private static final double MISSED_REPORTS = 1.4;
     /** A machine that shows no sign of having heard us for so many reports counts as deaf. */
     private static final double DEAF_REPORTS = 3;
     private static final double DEAF_SHARE = 0.05;
@@ -72,6 +72,7 @@
     private final Set<Job> complete = new LinkedHashSet<>();
     private final Set<String> rosterLeft = new LinkedHashSet<>();
     private final Set<Machine> notInRoster = new LinkedHashSet<>();
+    private final Set<Machine> toFreeze = new LinkedHashSet<>();
 
     public Cluster(Loop loop, Settings settings, long term, long termVersion) {
         this.loop = loop;
@@ -218,10 +219,15 @@
     /**
      * A machine that an earlier leader gave tasks to, or may have. The longer ago it is sure to have existed, the
      * sooner a list of the cloud that lacks it proves that it is gone.
+     *
+     * @param held all that it can hold, or null when that may be anything
      */
-    public void addRoster(String id, double ageS) {
+    public void addRoster(String id, double ageS, Set<TaskId> held) {
         Machine m = known(id);
-        m.inRoster = true;
+        m.inRoster = held == null;
+        m.frozen = held != null;
+        m.rosterBusy = true;
+        m.held = held;
         m.knownSince = Math.min(m.knownSince, loop.now() - Math.max(0, ageS));
         if (!m.settled) {
             m.answeredAt = Math.max(m.answeredAt, startedAt);
@@ -297,7 +303,27 @@
 
     /** Whether the roster lacks a machine, or has one too many. */
     public boolean rosterDue() {
-        return !notInRoster.isEmpty() || !rosterLeft.isEmpty();
+        return !notInRoster.isEmpty() || !rosterLeft.isEmpty() || !toFreeze.isEmpty();
+    }
+
+    /** Gives machines whose reports have stopped nothing more, so that what they hold can be written down. */
+    public void freezeSilent() {
+        double now = loop.now();
+        for (Machine m : machines.values()) {
+            if (m.up && m.settled && m.inRoster && m.silent(now)) {
+                m.inRoster = false;
+                m.frozen = true;
+                m.rosterBusy = true;
+                toFreeze.add(m);
+            }
+        }
+    }
+
+    /** Machines of which it is to be written down what they hold. */
+    public List<Machine> takeFrozen() {
+        List<Machine> all = toFreeze.stream().filter(m -> m.frozen && machines.get(m.id) == m).toList();
+        toFreeze.clear();
+        return all;
     }
 
     /** Machines that are ready for tasks but for their place in the roster. */
@@ -497,6 +523,10 @@
         if (settledNow) {
             hears(m);
         }
+        if ((m.settled || settledNow) && !m.inRoster) {
+            m.frozen = false;
+            notInRoster.add(m);
+        }
         // Most reports say nothing new, and there are hundreds in a second.
         if (!settledNow && !noticedNow && r.tasks().equals(m.applied)) {
             if (calls.needsCall(m)) {
@@ -524,9 +554,6 @@
             m.settled = true;
             unsettled.remove(m);
             changed = true;
-            if (!m.inRoster) {
-                notInRoster.add(m);
-            }
         }
         if (m.settled) {
             stopDuplicates(m);
@@ -806,11 +833,16 @@
 
     // Views
 
-    /** Machines of earlier terms that are not accounted for may still hold any task that is older than this term. */
-    public boolean mayBeUnseen(Job job) {
+    /** Machines of earlier terms that are not accounted for may still hold tasks that are older than this term. */
+    boolean mayBeUnseen(Job job) {
         return !unsettled.isEmpty() && job.version < termVersion;
     }
 
+    /** Whether one of the machines not accounted for may hold anything, and not only what was written down. */
+    boolean anythingUnseen() {
+        return unsettled.stream().anyMatch(m -> m.held == null);
+    }
+
     public String summary() {
         return views.summary();
     }
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -47,6 +47,10 @@
     /** Its tasks are moved elsewhere, so that it can be returned. */
     boolean draining;
     boolean inRoster;
+    /** Its place in the roster says, or is to say, what it holds: it gets nothing new. */
+    boolean frozen;
+    /** All that an earlier leader can have left on it, or null when that may be anything. */
+    Set<TaskId> held;
     boolean rosterBusy;
     int strikes;
     double suspendedUntil = Double.NEGATIVE_INFINITY;
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -1,6 +1,7 @@
 package org.saffronshore.cluster;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,6 +19,7 @@
 import org.saffronshore.scheduling.Team;
 import org.saffronshore.scheduling.Tuning;
 import org.saffronshore.wire.MachineType;
+import org.saffronshore.wire.TaskId;
 
 /** The cluster as the cycle and the fleet look at it. Reads only. */
 final class Views {
@@ -153,13 +155,29 @@
         return hosts;
     }
 
+    /** Waiting tasks of the job but for those that machines not accounted for may hold. */
+    private BitSet seen(Job job) {
+        BitSet waiting = (BitSet) job.waiting.clone();
+        for (Machine m : cluster.unsettled()) {
+            for (TaskId task : m.held) {
+                if (task.job().equals(job.spec.id())) {
+                    waiting.clear(task.index());
+                }
+            }
+        }
+        return waiting;
+    }
+
     List<Pending> pending() {
         double now = loop.now();
         List<Pending> all = new ArrayList<>();
+        boolean anything = cluster.anythingUnseen();
         for (Job job : cluster.jobs()) {
-            if (job.waiting.isEmpty() || now < job.backOffUntil || cluster.mayBeUnseen(job)) {
+            boolean older = cluster.mayBeUnseen(job);
+            if (job.waiting.isEmpty() || now < job.backOffUntil || older && anything) {
                 continue;
             }
+            BitSet waiting = older ? seen(job) : job.waiting;
             Map<String, Integer> perZone = Map.of();
             if (Pending.zonesMatter(job.spec)) {
                 perZone = new HashMap<>();
@@ -167,7 +185,7 @@
                     perZone.merge(a.machine.zone, 1, Integer::sum);
                 }
             }
-            Pending pending = new Pending(job.spec, job.version, job.waiting, perZone);
+            Pending pending = new Pending(job.spec, job.version, waiting, perZone);
             boolean waitsLong = loop.wallMs() - job.submittedMs > 1000 * PATIENCE_LEASES * settings.leaseS();
             all.add(waitsLong && !job.begun && job.done.isEmpty() && job.placed.isEmpty() ? pending.overdue() : pending);
         }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -252,6 +252,9 @@
         }
         cluster.expireLeases();
         cluster.findDeaf();
+        if (!cluster.mostlySilent(settings.reportS() * 4 / 3)) {
+            cluster.freezeSilent();
+        }
         cluster.retryCalls();
         act();
     }
--- a/src/main/java/org/saffronshore/control/Pages.java
+++ b/src/main/java/org/saffronshore/control/Pages.java
@@ -39,13 +39,18 @@
     }
 
     private final String prefix;
+    private final int fillBytes;
     private final int mostBytes;
     private final Map<Integer, Page> pages = new TreeMap<>();
     private final Map<String, Page> byName = new LinkedHashMap<>();
 
-    /** @param mostBytes how long a page may become; one entry alone may be longer */
-    Pages(String prefix, int mostBytes) {
+    /**
+     * @param fillBytes how long a page may become by new entries; one entry alone may be longer
+     * @param mostBytes how long it may become as its entries grow
+     */
+    Pages(String prefix, int fillBytes, int mostBytes) {
         this.prefix = prefix;
+        this.fillBytes = fillBytes;
         this.mostBytes = mostBytes;
     }
 
@@ -77,26 +82,33 @@
         byName.put(name, page);
     }
 
+    /** Enters or replaces; an entry that outgrows its page is moved to another one. */
     void put(String name, JsonNode value) {
-        int size = size(name, value);
-        Page page = byName.get(name);
-        if (page != null) {
-            remove(name);
-            if (page.bytes + size <= mostBytes) {
-                add(page, name, value);
-                return;
-            }
+        if (replace(name, value)) {
+            return;
         }
-        page = withRoom(size);
+        remove(name);
+        Page page = withRoom(size(name, value));
         add(page, name, value);
         page.dirty = true;
     }
 
+    /** Replaces an entry where it stands; false when there is none, or no room there for what it would become. */
+    boolean replace(String name, JsonNode value) {
+        Page page = byName.get(name);
+        if (page == null || page.bytes - size(name, page.entries.get(name)) + size(name, value) > mostBytes) {
+            return false;
+        }
+        remove(name);
+        add(page, name, value);
+        return true;
+    }
+
     private Page withRoom(int size) {
         int free = 0;
         for (Map.Entry<Integer, Page> e : pages.entrySet()) {
             Page page = e.getValue();
-            if (page.entries.isEmpty() || page.bytes + size <= mostBytes) {
+            if (page.entries.isEmpty() || page.bytes + size <= fillBytes) {
                 return page;
             }
             free = Math.max(free, e.getKey() + 1);
--- a/src/main/java/org/saffronshore/control/Records.java
+++ b/src/main/java/org/saffronshore/control/Records.java
@@ -1,13 +1,15 @@
 package org.saffronshore.control;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.LongNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -23,8 +25,10 @@
 import org.saffronshore.state.Keys;
 import org.saffronshore.state.StateClient;
 import org.saffronshore.state.Txn;
+import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Json;
+import org.saffronshore.wire.TaskId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,8 +40,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(Records.class);
     /** Finished tasks are kept in pieces, so that an entry stays below what the state service takes. */
     private static final int PIECE = 32_768;
-    /** Pages are this share of the longest value: longer ones are rewritten more often than they need be. */
-    private static final double PAGE = 0.5;
+    /** Pages are filled to this share of the longest value, and may grow to that. */
+    private static final double FILLED = 0.25;
+    private static final double GROWN = 0.9;
     /** A transaction may be 64 KiB long; this leaves room for its guards. */
     private static final int MOST_TXN_BYTES = 40 * 1024;
 
@@ -63,9 +68,10 @@
         this.leadership = node.leadership();
         this.leader = leader;
         this.cluster = cluster;
-        int pageBytes = (int) (settings.valueKb() * 1024 * PAGE);
-        this.progress = new Pages(Keys.PROGRESS, pageBytes);
-        this.roster = new Pages(Keys.ROSTER, pageBytes);
+        int fill = (int) (settings.valueKb() * 1024 * FILLED);
+        int most = (int) (settings.valueKb() * 1024 * GROWN);
+        this.progress = new Pages(Keys.PROGRESS, fill, most);
+        this.roster = new Pages(Keys.ROSTER, fill, most);
     }
 
     // What earlier terms wrote
@@ -87,8 +93,10 @@
 
     /** Tells the cluster of all machines that may hold tasks, and forgets the progress of jobs that are over. */
     void begin(StateClient.Listing storedRoster) {
-        roster.read(storedRoster.entries(), (machine, since) ->
-                cluster.addRoster(machine, (loop.wallMs() - since.asLong()) / 1000.0 - 2 * settings.clockOffS()));
+        roster.read(storedRoster.entries(), (machine, entry) -> {
+            double ageS = (loop.wallMs() - Json.count(entry, "At", Long.MAX_VALUE / 2)) / 1000.0;
+            cluster.addRoster(machine, ageS - 2 * settings.clockOffS(), held(entry.get("Held")));
+        });
         for (String name : new ArrayList<>(progress.names())) {
             if (cluster.job(Keys.idOf(Keys.PROGRESS + name)) == null) {
                 progress.remove(name);
@@ -96,6 +104,23 @@
         }
     }
 
+    /** All that the machine can hold, or null when that may be anything. */
+    private static Set<TaskId> held(JsonNode tasks) {
+        if (tasks == null) {
+            return null;
+        }
+        Set<TaskId> held = new HashSet<>();
+        for (JsonNode task : tasks) {
+            try {
+                held.add(TaskId.parse(task.asText()));
+            } catch (InvalidField e) {
+                LOG.error("a record of what a machine holds cannot be read: {}", e.getMessage());
+                return null;
+            }
+        }
+        return held;
+    }
+
     // Writing
 
     private Txn guarded() {
@@ -212,15 +237,27 @@
         return names;
     }
 
-    /** A machine gets tasks only once the state service knows that it may: a next leader must account for it. */
+    private ObjectNode entry() {
+        return Json.object().put("At", loop.wallMs());
+    }
+
+    /**
+     * A machine gets tasks only once the state service knows that it may: a next leader must account for it. Of one
+     * whose reports stop, what it holds is written down instead, and it gets nothing until that is taken back. So
+     * should the leader change then, only these tasks must wait for the machine, and not all.
+     */
     void saveRoster() {
         if (rosterBusy || loop.now() < rosterAgainAt || !cluster.rosterDue()) {
             return;
         }
-        List<Machine> added = cluster.notInRoster();
-        for (Machine m : added) {
-            roster.put(m.id(), LongNode.valueOf(loop.wallMs()));
+        for (Machine m : cluster.takeFrozen()) {
+            ObjectNode entry = entry();
+            ArrayNode held = entry.putArray("Held");
+            m.attempts().forEach(a -> held.add(a.task().toString()));
+            roster.replace(m.id(), entry);
         }
+        List<Machine> added = cluster.notInRoster();
+        added.forEach(m -> roster.put(m.id(), entry()));
         List<String> left = new ArrayList<>(cluster.rosterLeft());
         left.forEach(roster::remove);
         left.forEach(cluster.rosterLeft()::remove);
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -69,14 +69,14 @@
     @ParameterizedTest
     @CsvSource({"99, false", "101, true"})
     void onlyJobsOfThisTermNeedNotWaitForUnheardMachines(long version, boolean placeable) {
-        cluster.addRoster("host-1", 0);
+        cluster.addRoster("host-1", 0, null);
         job(version);
         assertEquals(placeable, placeable());
     }
 
     @Test
     void aMachineIsSettledOnceItKnowsTheToken() {
-        cluster.addRoster("host-1", 0);
+        cluster.addRoster("host-1", 0, null);
         job(1);
         cluster.reported(report("host-1", 1, 1, TERM - 1), true);
         assertFalse(placeable(), "an order of the last leader may still arrive there");
@@ -85,9 +85,44 @@
         assertTrue(placeable());
     }
 
+    /** Of a machine whose reports had stopped, the last leader wrote down what it held: only that must wait for it. */
+    @ParameterizedTest
+    @CsvSource({"false, 0 1 2", "true, 1 2"})
+    void onlyWhatWasWrittenDownWaitsForASilentMachine(boolean alsoHeld, String placeable) {
+        cluster.addRoster("host-1", 0, Set.of(TASK, new TaskId("wk-5", 1)));
+        cluster.addJob(Samples.job(alsoHeld ? "wk-1" : "wk-2", "red", Priority.STANDARD, 3, 4), 1, 0, new BitSet());
+        Machine m = up("host-2");
+        cluster.inRoster(List.of(m));
+        var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(),
+                cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of()),
+                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1), loop.now());
+        assertEquals(placeable, plan.placements().stream().map(p -> "" + p.task().index())
+                .collect(java.util.stream.Collectors.joining(" ")));
+        cluster.addRoster("host-3", 0, null);
+        assertFalse(placeable(), "that one may hold anything");
+    }
+
+    /** Once it is being written down, nothing may be added until that is taken back, and known to be. */
+    @Test
+    void aFrozenMachineGetsNothingUntilItsRecordIsTakenBack() {
+        Machine m = up("host-1");
+        job(101);
+        loop.pass(5);
+        cluster.freezeSilent();
+        assertEquals(List.of(m), cluster.takeFrozen());
+        cluster.reported(report("host-1", 1, ++seq, TERM), true);
+        assertFalse(m.usable(loop.now()));
+        assertTrue(cluster.rosterDue());
+        assertEquals(List.of(m), cluster.notInRoster());
+        cluster.inRoster(List.of(m));
+        assertTrue(m.usable(loop.now()));
+        cluster.gone(m, "returned");
+        assertTrue(cluster.rosterLeft().contains("host-1"));
+    }
+
     @Test
     void anUnheardMachineIsWaitedOutForItsLease() {
-        cluster.addRoster("host-1", 0);
+        cluster.addRoster("host-1", 0, null);
         job(1);
         loop.pass(Samples.LEASE_S);
         cluster.expireLeases();
@@ -101,7 +136,7 @@
     @ParameterizedTest
     @CsvSource({"0, false", "60, true"})
     void anOldMachineThatTheFirstListLacksIsGone(double age, boolean placeable) {
-        cluster.addRoster("host-1", age);
+        cluster.addRoster("host-1", age, null);
         job(1);
         cluster.listedOnly(Set.of(), loop.now());
         assertEquals(placeable, placeable());
@@ -109,7 +144,7 @@
 
     @Test
     void adoptsWhatRuns() {
-        cluster.addRoster("host-1", 0);
+        cluster.addRoster("host-1", 0, null);
         job(1);
         cluster.reported(report("host-1", 1, 1, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)), true);
         assertFalse(placeable());
@@ -125,7 +160,7 @@
 
     @Test
     void countsWhatMayRunUnseenAgainstTheLimit() {
-        cluster.addRoster("host-1", 0);
+        cluster.addRoster("host-1", 0, null);
         job(1);
         var teams = cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of());
         var more = Samples.job("wk-2", "red", Priority.STANDARD, 1, 62);
@@ -395,7 +430,7 @@
     /** It never shows the new term's token; older jobs wait for it only until the cloud has taken it back. */
     @Test
     void aMachineThatNeverLearnsOfTheTermHoldsUpNobody() {
-        cluster.addRoster("host-1", 60);
+        cluster.addRoster("host-1", 60, null);
         job(1);
         for (int i = 0; i < 8; i++) {
             cluster.reported(report("host-1", 1, ++seq, TERM - 1), true);
@@ -522,8 +557,8 @@
     /** A copy shows a task where it is not any more; the machine where it truly runs must not lose it. */
     @Test
     void aCopyDoesNotEndWhatTrulyRunsElsewhere() {
-        cluster.addRoster("host-1", 60);
-        cluster.addRoster("host-2", 60);
+        cluster.addRoster("host-1", 60, null);
+        cluster.addRoster("host-2", 60, null);
         job(1);
         Report.Task old = task("wk-1", 0, 7, State.RUNNING, Why.NONE);
         Report.Task now = task("wk-1", 0, 8, State.RUNNING, Why.NONE);
@@ -539,8 +574,8 @@
     /** What is in two places is stopped in one; and only when it is in neither may it start again. */
     @Test
     void aTaskInTwoPlacesWaitsForBoth() {
-        cluster.addRoster("host-1", 60);
-        cluster.addRoster("host-2", 60);
+        cluster.addRoster("host-1", 60, null);
+        cluster.addRoster("host-2", 60, null);
         job(1);
         cluster.reported(report("host-1", 1, 5, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)), true);
         cluster.reported(report("host-2", 1, 5, TERM, task("wk-1", 0, 8, State.RUNNING, Why.NONE)), true);
--- a/src/test/java/org/saffronshore/control/PagesTest.java
+++ b/src/test/java/org/saffronshore/control/PagesTest.java
@@ -20,7 +20,7 @@
     private final HandLoop loop = new HandLoop();
     private final StateStandIn service = new StateStandIn(loop);
     private final StateClient state = new StateClient(loop, service, Samples.settings());
-    private final Pages pages = new Pages("r/", MOST_BYTES);
+    private final Pages pages = new Pages("r/", MOST_BYTES, 2 * MOST_BYTES);
 
     private boolean write(Pages from) {
         Txn txn = new Txn();
@@ -35,7 +35,7 @@
 
     private Map<String, Long> stored() {
         Map<String, Long> all = new TreeMap<>();
-        state.list("r/", listing -> new Pages("r/", MOST_BYTES).read(listing.entries(),
+        state.list("r/", listing -> new Pages("r/", MOST_BYTES, 2 * MOST_BYTES).read(listing.entries(),
                 (name, value) -> all.put(name, value.asLong())));
         loop.pass(1);
         return all;
@@ -59,6 +59,25 @@
         assertEquals(Map.of("host-0", 0L, "host-1", 1L, "host-2", 2L, "host-3", 33L), stored());
     }
 
+    /** What must not be missing for a moment is replaced where it stands, or not at all. */
+    @Test
+    void replacesInPlaceAsFarAsThePageMayGrow() {
+        for (int i = 0; i < 5; i++) {
+            pages.put("host-" + i, LongNode.valueOf(i));
+        }
+        assertTrue(write(pages));
+        long large = 1_000_000_000_000_000L;
+        int replaced = 0;
+        for (int i = 0; i < 5; i++) {
+            replaced += pages.replace("host-" + i, LongNode.valueOf(large)) ? 1 : 0;
+        }
+        assertEquals(4, replaced, "5 of 11 bytes, each longer by 15, in 120");
+        assertFalse(pages.replace("host-9", LongNode.valueOf(1)));
+        assertTrue(write(pages));
+        assertEquals(0, service.version("r/1"));
+        assertEquals(4L, stored().values().stream().filter(v -> v == large).count());
+    }
+
     /** A late copy of an older page must not take away what was entered since: a leader would not look for it. */
     @Test
     void anOlderPageThatComesLateChangesNothing() {
