A common outage of the state service must not send all users away at once

Nodes now tell since when they were not served, and only a peer that was served clearly later counts. A node that neither hears its peers nor is served also says so.

--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -183,12 +183,14 @@
     /**
      * A node that alone is refused by the state service, or that reaches neither that nor any peer, sends its users
      * to the others. When nobody is served, all stay: to turn every user away at once, and to be let back in slowly,
-     * would only make an outage longer.
+     * would only make an outage longer. An outage reaches the nodes within moments of one another, so that a peer
+     * was served a little later than this node says nothing.
      */
     private void health(Request request, Reply reply) {
         if (!request.is("GET")) {
             reply.error(405, "GET only");
-        } else if (types.types().isEmpty() || !served() && (peers.peerServed() || peers.alone(settings.reportS()))) {
+        } else if (types.types().isEmpty()
+                || !served() && (peers.servedSince(state.answeredAt()) || peers.cutOff(settings.reportS()))) {
             reply.later(503, "not ready", 1);
         } else {
             reply.json(200, Json.object().put("ok", true));
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -33,7 +33,9 @@
     private final double periodS;
     /** When a peer last answered anything. */
     private double answeredAt = Double.NEGATIVE_INFINITY;
-    /** When each peer last said that the state service serves it. */
+    /** When a message of a peer last came. */
+    private double heardAt = Double.NEGATIVE_INFINITY;
+    /** When the state service last served each peer, as far as it has told. */
     private final Map<String, Double> servedAt = new HashMap<>();
     private long sent;
     /** The number of the latest message of each process that was heard. */
@@ -97,8 +99,9 @@
 
     private void heard(JsonNode hello) {
         String from = Json.text(hello, "node");
-        if (from != null && Json.flag(hello, "served")) {
-            servedAt.put(from, loop.now());
+        double ageS = Json.number(hello, "served_s", Double.POSITIVE_INFINITY);
+        if (from != null) {
+            servedAt.merge(from, loop.now() - ageS, Math::max);
         }
         long term = Json.count(hello, "term", -1);
         if (term >= progressTerm && hello.path("jobs").isObject()) {
@@ -115,6 +118,11 @@
         return !settings.peers().isEmpty() && loop.now() > answeredAt + forS;
     }
 
+    /** Whether no peer has been heard either, in answers or by itself. */
+    boolean cutOff(double forS) {
+        return alone(forS) && loop.now() > heardAt + forS;
+    }
+
     /** Hands a worker's report to the leader, and the leader's answer back; null when there is none in time. */
     void relay(String leader, byte[] report, Consumer<byte[]> then) {
         for (Peer peer : settings.peers()) {
@@ -138,7 +146,8 @@
 
     private ObjectNode self() {
         return Json.object().put("node", settings.node()).put("life", node.leadership().incarnation())
-                .put("n", ++sent).put("served", node.served());
+                .put("n", ++sent).put("served", node.served())
+                .put("served_s", Math.min(1e9, loop.now() - node.state().answeredAt()));
     }
 
     /**
@@ -205,6 +214,7 @@
             return true;
         }
         long term = Json.count(message, "term", -1);
+        heardAt = loop.now();
         ObjectNode answer = self();
         if (outdated(from, life, Json.count(message, "n", 0))) {
             answer.put("granted", false);
@@ -221,10 +231,9 @@
         return true;
     }
 
-    /** Whether some peer was served by the state service a moment ago. */
-    boolean peerServed() {
-        double since = loop.now() - 3 * periodS;
-        return servedAt.values().stream().anyMatch(at -> at > since);
+    /** Whether the state service has served some peer since that moment, and for some time after it. */
+    boolean servedSince(double moment) {
+        return servedAt.values().stream().anyMatch(at -> at > moment + 2 * periodS);
     }
 
     Progress progress(String job) {
--- a/src/test/java/org/saffronshore/control/NodeTest.java
+++ b/src/test/java/org/saffronshore/control/NodeTest.java
@@ -373,6 +373,21 @@
         assertEquals("aborted", status("wk-1"));
     }
 
+    /** A peer was last served so long after this node was; the state service has been away for it for 8 s. */
+    @ParameterizedTest
+    @CsvSource({"0.5, 200", "1.5, 200", "7, 503"})
+    void onlyANodeThatAloneIsRefusedSendsItsUsersAway(double laterS, int status) throws InvalidField {
+        process.dead = true;
+        process = new Process("n-0", true);
+        loop.pass(5);
+        state.away = (method, path) -> true;
+        loop.pass(8);
+        process.node.peers().handle(new Request("POST", "/peer/hello", Json.cbor(Json.object().put("node", "n-1")
+                .put("life", "x").put("n", 1).put("served", laterS > 5).put("served_s", 8 + 0.2 - laterS))),
+                (code, type, bytes, r) -> assertEquals(200, code));
+        process.ask("GET", "/healthz", null, status);
+    }
+
     // Messages between controllers
 
     private boolean granted(String path, String from, String life, long n, long term) {
