--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -48,6 +48,8 @@
     /** A machine that shows no sign of having heard us for so many reports counts as deaf. */
     private static final double DEAF_REPORTS = 3;
     private static final double DEAF_SHARE = 0.05;
+    /** The rate at which jobs come is taken over twice this share of a lease. */
+    private static final double RATE_LEASES = 0.5;
     private static final int REMEMBERED_GONE = 5_000;
 
     private final Loop loop;
@@ -63,7 +65,7 @@
     /** Machines that may hold tasks of earlier terms and have not been heard in this one. */
     private final Set<Machine> unsettled = new LinkedHashSet<>();
     private final RunTimes runs = new RunTimes();
-    private final Arrivals arrivals = new Arrivals();
+    private final Arrivals arrivals;
     private long lastAttempt;
     private boolean changed;
     private final Calls calls;
@@ -80,6 +82,7 @@
         this.term = term;
         this.termVersion = termVersion;
         this.startedAt = loop.now();
+        this.arrivals = new Arrivals(RATE_LEASES * settings.leaseS());
         this.calls = new Calls(this, loop, settings);
         this.views = new Views(this, loop, settings);
     }
@@ -171,7 +174,7 @@
         }
         Job job = new Job(spec, version, submittedMs, done);
         jobs.put(spec.id(), job);
-        arrivals.saw(spec, loop.now());
+        arrivals.saw(spec, version > termVersion, loop.now());
         for (Machine m : machines.values()) {
             for (Attempt a : m.allAttempts()) {
                 if (a.task.job().equals(spec.id()) && a.job == null) {
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -47,9 +47,6 @@
     /** This share of the machines may be emptied at the same time. */
     private static final double EMPTIED_SHARE = 0.02;
 
-    /** Tasks whose wait users mind may be left to wait for this share of the time that a boot takes. */
-    private static final double MINDED_WAIT = 0.5;
-
     /** Working out what to rent may take this share of the time. */
     private static final double RENT_SHARE = 0.1;
 
@@ -224,7 +221,11 @@
             }
         }
         orders.values().forEach(o -> perZone.merge(o.kind.zone(), o.count, Integer::sum));
-        List<Plan.Unmet> late = Forecast.late(lines(true), unmet, cluster::lastsS, job -> now + patience(job));
+        // A queue that just clears in the time of a boot stands for as long as its like keeps coming: so what is to come
+        // in that time counts as well, behind what is there.
+        List<Plan.Unmet> queue = new ArrayList<>(unmet);
+        queue.addAll(cluster.arrivals().within(boot(), now));
+        List<Plan.Unmet> late = Forecast.late(lines(true), queue, cluster::lastsS, job -> now + boot(job));
         FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
                 .forEach(this::order);
         makeWay(late, perZone, now);
@@ -278,15 +279,8 @@
         return (int) Math.max(2, 2 * settings.cloudRps());
     }
 
-    /**
-     * How long a task may be left to wait for room that is about to become free. A new machine would not start it
-     * sooner than in the time of a boot. But a queue that just clears within that time stands as long as its like
-     * keeps coming, and where users mind the wait, that is too long.
-     */
-    private double patience(JobSpec job) {
-        boolean minded = settings.objectives().stream()
-                .anyMatch(o -> o.kind().equals("wait") && job.jobClass().equals(o.jobClass()));
-        return boot(job) * (minded ? MINDED_WAIT : 1);
+    private double boot() {
+        return cluster.types().values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
     }
 
     /** How long the quickest machine for a job takes to be up. */
--- a/src/main/java/org/saffronshore/fleet/Arrivals.java
+++ b/src/main/java/org/saffronshore/fleet/Arrivals.java
@@ -1,9 +1,11 @@
 package org.saffronshore.fleet;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.saffronshore.scheduling.Plan;
 import org.saffronshore.scheduling.Room;
 import org.saffronshore.wire.JobSpec;
 
@@ -16,14 +18,25 @@
         long tasks;
         double firstAt;
         double lastAt;
+        /** Jobs that came lately. */
+        final ArrayDeque<Recent> recent = new ArrayDeque<>();
     }
 
+    private record Recent(double at, int tasks) {}
+
     /** A typical job of a class that is to find room at once. */
     public record Expected(JobSpec task, double tasks) {}
 
     private final Map<String, Seen> classes = new HashMap<>();
+    private final double spanS;
+
+    /** @param spanS jobs must come for twice this time before more of their like are expected */
+    public Arrivals(double spanS) {
+        this.spanS = spanS;
+    }
 
-    public void saw(JobSpec job, double now) {
+    /** @param fresh whether the job came just now, and was not found waiting */
+    public void saw(JobSpec job, boolean fresh, double now) {
         Seen seen = classes.computeIfAbsent(job.jobClass(), c -> new Seen());
         if (seen.jobs == 0) {
             seen.firstAt = now;
@@ -32,6 +45,36 @@
         seen.jobs++;
         seen.tasks += job.tasks();
         seen.lastAt = now;
+        if (fresh) {
+            seen.recent.addLast(new Recent(now, job.tasks()));
+        }
+    }
+
+    /**
+     * Tasks of each class that are to come within some time, if they come as they did lately. Of the last two spans
+     * the leaner one counts, so that a heap of jobs that come at once is not taken for a stream of them.
+     */
+    public List<Plan.Unmet> within(double seconds, double now) {
+        List<Plan.Unmet> all = new ArrayList<>();
+        for (Seen s : classes.values()) {
+            while (!s.recent.isEmpty() && s.recent.peekFirst().at < now - 2 * spanS) {
+                s.recent.removeFirst();
+            }
+            int last = 0;
+            int before = 0;
+            for (Recent r : s.recent) {
+                if (r.at >= now - spanS) {
+                    last += r.tasks;
+                } else {
+                    before += r.tasks;
+                }
+            }
+            int tasks = (int) (Math.min(last, before) / spanS * seconds);
+            if (tasks > 0) {
+                all.add(new Plan.Unmet(s.example, tasks));
+            }
+        }
+        return all;
     }
 
     /** A typical job of every class that still comes: one that has not stayed away for several of its usual gaps. */
--- a/src/test/java/org/saffronshore/fleet/FleetTest.java
+++ b/src/test/java/org/saffronshore/fleet/FleetTest.java
@@ -73,11 +73,23 @@
 
     @Test
     void expectsClassesThatStillCome() {
-        Arrivals arrivals = new Arrivals();
+        Arrivals arrivals = new Arrivals(20);
         for (int i = 0; i < 4; i++) {
-            arrivals.saw(Samples.job("wk-" + i, "red", Priority.URGENT, 2 + 2 * (i % 2), 4), i * 10);
+            arrivals.saw(Samples.job("wk-" + i, "red", Priority.URGENT, 2 + 2 * (i % 2), 4), true, i * 10);
         }
         assertEquals(3, arrivals.expected(35, 1).get(0).tasks());
         assertEquals(List.of(), arrivals.expected(100, 1));
     }
+
+    /** 4 tasks every second for a time, or found waiting when the term began; how many are to come in 10 s. */
+    @ParameterizedTest
+    @CsvSource({"true, 60, 0, 40", "true, 60, 10, 20", "true, 60, 40, 0", "false, 60, 0, 0", "true, 5, 0, 0"})
+    void expectsTasksAsTheyCameLately(boolean fresh, int seconds, double ago, int expected) {
+        Arrivals arrivals = new Arrivals(20);
+        for (int i = 0; i < seconds; i++) {
+            arrivals.saw(Samples.job("wk-" + i, "red", Priority.URGENT, 4, 4), fresh, i);
+        }
+        int within = arrivals.within(10, seconds + ago).stream().mapToInt(Plan.Unmet::tasks).sum();
+        assertEquals(expected, within, 3);
+    }
 }
