--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -47,6 +47,9 @@
     /** This share of the machines may be emptied at the same time. */
     private static final double EMPTIED_SHARE = 0.02;
 
+    /** Tasks whose wait users mind should wait for this share of the time that a boot takes at the most. */
+    private static final double MINDED_WAIT = 0.5;
+
     /** Working out what to rent may take this share of the time. */
     private static final double RENT_SHARE = 0.1;
 
@@ -221,13 +224,9 @@
             }
         }
         orders.values().forEach(o -> perZone.merge(o.kind.zone(), o.count, Integer::sum));
-        // A queue that just clears in the time of a boot stands for as long as its like keeps coming: so what is to come
-        // in that time counts as well, behind what is there.
-        List<Plan.Unmet> queue = new ArrayList<>(unmet);
-        queue.addAll(cluster.arrivals().within(boot(), now));
-        List<Plan.Unmet> late = Forecast.late(lines(true), queue, cluster::lastsS, job -> now + boot(job));
-        FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
-                .forEach(this::order);
+        List<Plan.Unmet> late = Forecast.late(lines(true), unmet, cluster::lastsS, job -> now + boot(job));
+        FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now)).forEach(this::order);
+        foresee(perZone, now);
         makeWay(late, perZone, now);
         double took = loop.now() - now;
         rentAgainAt = loop.now() + Math.max(settings.reportS() / 12, took / RENT_SHARE);
@@ -279,6 +278,26 @@
         return (int) Math.max(2, 2 * settings.cloudRps());
     }
 
+    /**
+     * A queue that just clears in the time of a boot stands for as long as its like keeps coming: so what is to come
+     * in that time counts as well, behind what is there, and where users mind the wait it is to be short. Cheap
+     * machines only: ordinary ones for what may not come cost more than the waits are worth.
+     */
+    private void foresee(Map<String, Integer> perZone, double now) {
+        List<Plan.Unmet> queue = new ArrayList<>(unmet);
+        queue.addAll(cluster.arrivals().within(boot(), now));
+        List<Plan.Unmet> late = Forecast.late(lines(true), queue, cluster::lastsS,
+                job -> now + boot(job) * (waitMinded(job) ? MINDED_WAIT : 1));
+        FleetPlan.orders(cluster.types(), late, perZone, kind -> kind.spot() && available(kind, now))
+                .forEach(this::order);
+    }
+
+    /** Whether users have an aim for how long tasks of this class wait. */
+    private boolean waitMinded(JobSpec job) {
+        return settings.objectives().stream()
+                .anyMatch(o -> o.kind().equals("wait") && job.jobClass().equals(o.jobClass()));
+    }
+
     private double boot() {
         return cluster.types().values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
     }
