Candidates agree through the state service when they do not reach one another

Ruled out: waiting for the permit to end and no more, since the old leader may act on time that its peers give. Candidates now write down that they ask, and the others that they give.

--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -44,6 +44,7 @@
     private final Listener listener;
     private final Ballot ballot;
     private final Grants grants;
+    private final StateBallot stateBallot;
     private final double lifeS;
     /** Tells this life of the process from earlier ones of the same node. */
     private final String incarnation;
@@ -58,6 +59,8 @@
     private String leaderNode;
     private long leaderTerm = -1;
     private long standingFor;
+    /** Tries in a row in which most peers said nothing at all. */
+    private int unreached;
     private long watchFrom = -1;
     private double grantsBoundedBy = Double.NEGATIVE_INFINITY;
     private double standAgainAt = Double.NEGATIVE_INFINITY;
@@ -73,6 +76,7 @@
         this.incarnation = Long.toHexString(random.nextLong());
         this.ballot = ballot;
         this.grants = new Grants(loop, lifeS, settings.controllers());
+        this.stateBallot = new StateBallot(loop, state, settings.node(), incarnation, lifeS / 2);
     }
 
     public void start() {
@@ -209,8 +213,12 @@
             long lastTerm = read.ok() ? Json.count(last, "Term", 0) : 0;
             standingFor = lastTerm + 1;
             ballot.ask(lastTerm + 1, votes -> isOver(last, votes) || given(votes) + 1 >= grants.majority(), votes -> {
-                if (isOver(last, votes) || lastTerm == 0 || elected(lastTerm + 1, votes)) {
-                    grant(lastTerm, read.ok() ? Json.count(old, "Stamp", 0) : 0);
+                long version = read.ok() ? Json.count(old, "Stamp", 0) : 0;
+                if (isOver(last, votes) || lastTerm == 0 || elected(lastTerm + 1, given(votes))) {
+                    unreached = 0;
+                    grant(lastTerm, version);
+                } else if (votes.size() + 1 < grants.majority() && ++unreached > 1) {
+                    standThroughState(lastTerm, version);
                 } else {
                     ballot.giveUp(lastTerm + 1);
                     lost(0);
@@ -219,6 +227,19 @@
         });
     }
 
+    /** Without a way to most peers, but with the state service, a leader that is cut off could never be replaced. */
+    private void standThroughState(long lastTerm, long termVersion) {
+        stateBallot.ask(lastTerm + 1, (node, life, asked) -> give(node, life, asked, true, true, true),
+                given -> given.size() + 1 >= grants.majority(), given -> {
+                    if (elected(lastTerm + 1, given.size())) {
+                        unreached = 0;
+                        grant(lastTerm, termVersion);
+                    } else {
+                        lost(0);
+                    }
+                });
+    }
+
     /** Whether the process that led last is over: another life of the same node has just answered, or is this one. */
     private boolean isOver(JsonNode last, List<Ballot.Vote> votes) {
         String node = Json.text(last, "Node");
@@ -231,8 +252,7 @@
         return votes.stream().filter(Ballot.Vote::granted).count();
     }
 
-    private boolean elected(long next, List<Ballot.Vote> votes) {
-        long given = given(votes);
+    private boolean elected(long next, long given) {
         if (given + 1 < grants.majority()) {
             return false;
         }
--- a/src/main/java/org/saffronshore/state/Keys.java
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -12,6 +12,9 @@
     public static final String ROSTER = "r/";
     public static final String LEADER = "l/leader";
     public static final String TERM = "t/term";
+    /** Who asks for time to lead, and who gave it, when controllers do not reach one another. */
+    public static final String CALL = "e/call";
+    public static final String VOTES = "e/v/";
     /** The cloud's machine types as they were last seen, for a node that starts while the cloud is away. */
     public static final String TYPES = "m/types";
     public static final String OPERATOR = "o/settings";
@@ -26,6 +29,10 @@
         return FINALS + id;
     }
 
+    public static String vote(String node) {
+        return VOTES + node;
+    }
+
     public static String idOf(String key) {
         int from = key.indexOf('/') + 1;
         int to = key.indexOf('/', from);
--- a/src/test/java/org/saffronshore/leadership/LeadershipTest.java
+++ b/src/test/java/org/saffronshore/leadership/LeadershipTest.java
@@ -217,6 +217,28 @@
         assertEquals(List.of(2L), second.terms);
     }
 
+    /** No controller reaches another, and the state service refuses the leader alone: the others agree through it. */
+    @Test
+    void agreesThroughTheStateServiceWhenPeersAreOutOfReach() {
+        three();
+        for (int round = 0; round < 4; round++) {
+            Candidate leader = leader();
+            all.forEach(c -> c.deaf = true);
+            leader.cut = true;
+            double without = 0;
+            for (int step = 0; step < 500; step++) {
+                loop.pass(LIFE_S / 100);
+                assertTrue(acting() <= 1);
+                without += acting() == 0 ? LIFE_S / 100 : 0;
+            }
+            assertEquals(1, acting());
+            assertTrue(leader() != leader && without < 2 * LIFE_S, "nobody led for " + without + " s");
+            leader.cut = false;
+            all.forEach(c -> c.deaf = false);
+            loop.pass(LIFE_S * 2);
+        }
+    }
+
     /** A claim that is carried out after its sender gave up must not make anybody lead. */
     @Test
     void lateClaimLeadsNobody() {
