--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -249,6 +249,10 @@
         if (Math.abs(a.cpus - b.cpus) > 1e-6) {
             return a.cpus < b.cpus;
         }
+        boolean heldByA = a.holds(job.image());
+        if (heldByA != b.holds(job.image())) {
+            return heldByA;
+        }
         if (a.kind.spot() != b.kind.spot()) {
             return a.kind.spot();
         }
@@ -257,10 +261,6 @@
         if (setA != setB) {
             return setA < setB;
         }
-        boolean heldByA = a.holds(job.image());
-        if (heldByA != b.holds(job.image())) {
-            return heldByA;
-        }
         return a.room.cpus < b.room.cpus - 1e-6;
     }
 
--- a/src/test/java/org/saffronshore/scheduling/PlainCycle.java
+++ b/src/test/java/org/saffronshore/scheduling/PlainCycle.java
@@ -209,6 +209,10 @@
         if (Math.abs(a.cpus - b.cpus) > 1e-6) {
             return a.cpus < b.cpus;
         }
+        boolean heldByA = a.holds(job.image());
+        if (heldByA != b.holds(job.image())) {
+            return heldByA;
+        }
         if (a.kind.spot() != b.kind.spot()) {
             return a.kind.spot();
         }
@@ -217,10 +221,6 @@
         if (setA != setB) {
             return setA < setB;
         }
-        boolean heldByA = a.holds(job.image());
-        if (heldByA != b.holds(job.image())) {
-            return heldByA;
-        }
         return a.room.cpus < b.room.cpus - 1e-6;
     }
 
