--- a/src/main/java/org/saffronshore/cli/RehearseCommand.java
+++ b/src/main/java/org/saffronshore/cli/RehearseCommand.java
@@ -62,8 +62,11 @@
 
     /** Classes that only a served controller would touch. */
     private static void loadAll() {
-        for (String name : new String[] {"cluster.Cluster", "cluster.Cluster$Call", "cluster.Machine", "cluster.Job",
+        for (String name : new String[] {"cluster.Cluster", "cluster.Cluster$Call", "cluster.Calls", "cluster.Views",
+                "cluster.RunTimes", "cluster.Roster", "cluster.Hearing", "cluster.Machine", "cluster.Job",
                 "cluster.Attempt", "cluster.Attempt$State", "control.Leader", "control.FleetKeeper",
+                "control.JobFeed", "control.Records", "control.Pages", "control.Pages$Batch", "scheduling.Failures",
+                 "fleet.Forecast", "fleet.Forecast$Line", "fleet.Displaced",
                 "scheduling.Cycle", "scheduling.Plan", "scheduling.Host", "scheduling.Pending", "scheduling.Team",
                 "scheduling.Room", "scheduling.Slot", "fleet.FleetPlan", "fleet.Kind", "wire.Report", "wire.Command",
                 "wire.TaskId", "wire.MachineType", "admin.OperatorSettings", "state.Txn"}) {
--- a/src/main/java/org/saffronshore/cluster/Calls.java
+++ b/src/main/java/org/saffronshore/cluster/Calls.java
@@ -97,7 +97,7 @@
             }
         }
         if (report != null) {
-            cluster.hears(m);
+            cluster.hearing().hears(m);
             cluster.answered(m, report);
         }
         if (executed || surelyNot && report != null) {
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -45,9 +45,6 @@
     private static final int BAD_JOB_MACHINES = 3;
     /** A machine counts as silent when it has let this many reports be missed. */
     private static final double MISSED_REPORTS = 1.4;
-    /** A machine that shows no sign of having heard us for so many reports counts as deaf. */
-    private static final double DEAF_REPORTS = 3;
-    private static final double DEAF_SHARE = 0.05;
     /** The rate at which jobs come is taken over twice this share of a lease. */
     private static final double RATE_LEASES = 0.5;
     private static final int REMEMBERED_GONE = 5_000;
@@ -72,9 +69,8 @@
     private final Views views;
     private final Set<Job> unsaved = new LinkedHashSet<>();
     private final Set<Job> complete = new LinkedHashSet<>();
-    private final Set<String> rosterLeft = new LinkedHashSet<>();
-    private final Set<Machine> notInRoster = new LinkedHashSet<>();
-    private final Set<Machine> toFreeze = new LinkedHashSet<>();
+    private final Roster roster;
+    private final Hearing hearing;
 
     public Cluster(Loop loop, Settings settings, long term, long termVersion) {
         this.loop = loop;
@@ -85,6 +81,8 @@
         this.arrivals = new Arrivals(RATE_LEASES * settings.leaseS());
         this.calls = new Calls(this, loop, settings);
         this.views = new Views(this, loop, settings);
+        this.roster = new Roster(this, loop);
+        this.hearing = new Hearing(this, loop, settings);
     }
 
     public long term() {
@@ -112,6 +110,25 @@
         return m.type == null ? null : types.get(m.type);
     }
 
+    /** Which machines the next leader must know of. */
+    public Roster roster() {
+        return roster;
+    }
+
+    /** Which machines hear nothing of what they are told. */
+    public Hearing hearing() {
+        return hearing;
+    }
+
+    /** Something has happened that may let a task be placed. */
+    void changed() {
+        changed = true;
+    }
+
+    void callDue(Machine m) {
+        calls.due(m);
+    }
+
     public Collection<Machine> machines() {
         return machines.values();
     }
@@ -291,59 +308,12 @@
         release(m);
         machines.remove(m.id);
         gone.add(m.id);
-        if (m.inRoster || m.rosterBusy) {
-            rosterLeft.add(m.id);
-        }
+        roster.gone(m);
         if (gone.size() > REMEMBERED_GONE) {
             gone.remove(gone.iterator().next());
         }
     }
 
-    /** Machines in the roster that are gone for good: no later leader needs to account for them. */
-    public Set<String> rosterLeft() {
-        return rosterLeft;
-    }
-
-    /** Whether the roster lacks a machine, or has one too many. */
-    public boolean rosterDue() {
-        return !notInRoster.isEmpty() || !rosterLeft.isEmpty() || !toFreeze.isEmpty();
-    }
-
-    /** Gives machines whose reports have stopped nothing more, so that what they hold can be written down. */
-    public void freezeSilent() {
-        double now = loop.now();
-        for (Machine m : machines.values()) {
-            if (m.up && m.settled && m.inRoster && m.silent(now)) {
-                m.inRoster = false;
-                m.frozen = true;
-                m.rosterBusy = true;
-                toFreeze.add(m);
-            }
-        }
-    }
-
-    /** Machines of which it is to be written down what they hold. */
-    public List<Machine> takeFrozen() {
-        List<Machine> all = toFreeze.stream().filter(m -> m.frozen && machines.get(m.id) == m).toList();
-        toFreeze.clear();
-        return all;
-    }
-
-    /** Machines that are ready for tasks but for their place in the roster. */
-    public List<Machine> notInRoster() {
-        notInRoster.removeIf(m -> machines.get(m.id) != m);
-        notInRoster.forEach(m -> m.rosterBusy = true);
-        return new ArrayList<>(notInRoster);
-    }
-
-    public void inRoster(List<Machine> added) {
-        for (Machine m : added) {
-            m.inRoster = true;
-            notInRoster.remove(m);
-        }
-        changed = true;
-    }
-
     private void release(Machine m) {
         for (Attempt a : m.allAttempts()) {
             over(a);
@@ -375,58 +345,6 @@
         }
     }
 
-    /**
-     * Looks for machines that report and yet hear nothing: their reports come, but the term's token does not show, or
-     * what they are told does not happen. They get no new work, and are returned. Their tasks are placed again when
-     * the cloud has answered that, or, in the term that started them, with the machine's next session: launches name
-     * the session, so none of ours can arrive in a later one. A session that is new to this term proves nothing of
-     * what earlier leaders did: they may have known it, and a launch of theirs may still arrive there as long as the
-     * machine has not seen our token. So that is not relied on.
-     */
-    public void findDeaf() {
-        double now = loop.now();
-        double patience = DEAF_REPORTS * settings.reportS();
-        for (Machine m : machines.values()) {
-            if (!m.up || m.deaf || m.silent(now)) {
-                continue;
-            }
-            boolean untold = !m.settled && now > m.firstAnsweredAt + patience;
-            if (untold || m.attempts.values().stream().anyMatch(a -> a.state == Attempt.State.SENDING && a.loose
-                    && now > a.placedAt + patience)) {
-                suspect(m);
-            }
-        }
-    }
-
-    private void suspect(Machine m) {
-        LOG.debug("machine {} does not seem to hear us", m.id);
-        m.deaf = true;
-        m.deafSince = loop.now();
-        m.changed();
-        changed = true;
-        calls.due(m);
-    }
-
-    /** There is proof that something we said has reached the machine. */
-    void hears(Machine m) {
-        if (m.deaf) {
-            m.deaf = false;
-            changed = true;
-        }
-    }
-
-    /**
-     * Whether a machine has not heard us for so long that it is of no use. Should many seem deaf, then it is we who
-     * cannot be heard, and the machines are not to blame.
-     */
-    public boolean uselesslyDeaf(Machine m) {
-        if (!m.deaf || loop.now() < m.deafSince + 2 * settings.reportS()) {
-            return false;
-        }
-        long deaf = machines.values().stream().filter(other -> other.deaf).count();
-        return deaf <= Math.max(2, machines.size() * DEAF_SHARE);
-    }
-
     /** Whether most machines that are up have not been heard for a while. */
     public boolean mostlySilent(double forS) {
         int up = 0;
@@ -499,7 +417,7 @@
             m.changed();
             // Its lease ran out although its reports were answered: it may not hear us.
             if (m.session > 0 && now < m.answeredBefore + Settings.shrunk(settings.leaseS()) && !m.deaf) {
-                suspect(m);
+                hearing.suspect(m);
             }
             m.session = r.session();
         }
@@ -524,11 +442,10 @@
         }
         boolean settledNow = !m.settled && r.token() >= term;
         if (settledNow) {
-            hears(m);
+            hearing.hears(m);
         }
         if ((m.settled || settledNow) && !m.inRoster) {
-            m.frozen = false;
-            notInRoster.add(m);
+            roster.enter(m);
         }
         // Most reports say nothing new, and there are hundreds in a second.
         if (!settledNow && !noticedNow && r.tasks().equals(m.applied)) {
@@ -586,7 +503,7 @@
             adopt(a, inRange ? job : null);
         }
         if (a.state == Attempt.State.SENDING) {
-            hears(m);
+            hearing.hears(m);
         }
         switch (t.state()) {
             case FETCHING -> a.state = Attempt.State.FETCHING;
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -158,8 +158,8 @@
 
     /** Whether new tasks may be put here. */
     public boolean usable(double now) {
-        return up && settled && inRoster && !returning && !draining && !failed && !noticed() && !distrusted() && now >= suspendedUntil
-                && !silent(now) && !deaf && !unknownLoad();
+        return up && settled && inRoster && !returning && !draining && !failed && !noticed() && !distrusted()
+                && now >= suspendedUntil && !silent(now) && !deaf && !unknownLoad();
     }
 
     /** Whether reports that were due have not come: it may hang, or be cut off. */
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -381,7 +381,7 @@
         if (!m.up()) {
             return "it is lost";
         }
-        if (cluster.uselesslyDeaf(m)) {
+        if (cluster.hearing().useless(m)) {
             return "it does not hear us";
         }
         if (!m.empty() || !m.settled()) {
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -251,9 +251,9 @@
             return;
         }
         cluster.expireLeases();
-        cluster.findDeaf();
+        cluster.hearing().find();
         if (!cluster.mostlySilent(settings.reportS() * 4 / 3)) {
-            cluster.freezeSilent();
+            cluster.roster().freezeSilent();
         }
         cluster.retryCalls();
         act();
--- a/src/main/java/org/saffronshore/control/Records.java
+++ b/src/main/java/org/saffronshore/control/Records.java
@@ -247,20 +247,20 @@
      * should the leader change then, only these tasks must wait for the machine, and not all.
      */
     void saveRoster() {
-        if (rosterBusy || loop.now() < rosterAgainAt || !cluster.rosterDue()) {
+        if (rosterBusy || loop.now() < rosterAgainAt || !cluster.roster().due()) {
             return;
         }
-        for (Machine m : cluster.takeFrozen()) {
+        for (Machine m : cluster.roster().takeFrozen()) {
             ObjectNode entry = entry();
             ArrayNode held = entry.putArray("Held");
             m.attempts().forEach(a -> held.add(a.task().toString()));
             roster.replace(m.id(), entry);
         }
-        List<Machine> added = cluster.notInRoster();
+        List<Machine> added = cluster.roster().missing();
         added.forEach(m -> roster.put(m.id(), entry()));
-        List<String> left = new ArrayList<>(cluster.rosterLeft());
+        List<String> left = new ArrayList<>(cluster.roster().left());
         left.forEach(roster::remove);
-        left.forEach(cluster.rosterLeft()::remove);
+        left.forEach(cluster.roster().left()::remove);
         Txn txn = guarded();
         Pages.Batch batch = roster.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
         if (batch.isEmpty()) {
@@ -275,7 +275,7 @@
                 return;
             }
             if (written) {
-                cluster.inRoster(entered);
+                cluster.roster().entered(entered);
                 leader.act();
             } else {
                 rosterAgainAt = loop.now() + settings.reportS() / 10;
--- a/src/main/java/org/saffronshore/fleet/FleetPlan.java
+++ b/src/main/java/org/saffronshore/fleet/FleetPlan.java
@@ -52,7 +52,8 @@
      * @param perZone how many machines each zone has, so that new ones go where there are fewest
      * @param available whether the cloud is thought to have machines of a kind
      */
-    public static Map<Kind, Integer> orders(Map<String, MachineType> types, List<Plan.Unmet> unmet, Map<String, Integer> perZone, Predicate<Kind> available) {
+    public static Map<Kind, Integer> orders(Map<String, MachineType> types, List<Plan.Unmet> unmet,
+            Map<String, Integer> perZone, Predicate<Kind> available) {
         FleetPlan plan = new FleetPlan(types, available, perZone);
         // Large tasks first: small ones then fill the gaps, and fewer machines do.
         List<Plan.Unmet> groups = new ArrayList<>(unmet);
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -118,7 +118,8 @@
     /** What the next entry of a team stands for when teams are compared. */
     private record Head(String team, boolean overdue, boolean guaranteed, int priority, double fraction, int rank) {
         static final Comparator<Head> ORDER = Comparator.comparing((Head h) -> !h.overdue)
-                .thenComparing(h -> !h.guaranteed).thenComparingInt(h -> -h.priority).thenComparingDouble(Head::fraction).thenComparingInt(Head::rank);
+                .thenComparing(h -> !h.guaranteed).thenComparingInt(h -> -h.priority)
+                .thenComparingDouble(Head::fraction).thenComparingInt(Head::rank);
     }
 
     /**
@@ -151,7 +152,8 @@
         Entry entry = queues.get(name).get(index);
         JobSpec job = entry.job();
         Team team = teams.get(name);
-        return new Head(name, entry.overdue(), team.withinGuarantee(job), job.priority().ordinal(), team.fraction(tuning.cost(job)), rank);
+        return new Head(name, entry.overdue(), team.withinGuarantee(job), job.priority().ordinal(),
+                team.fraction(tuning.cost(job)), rank);
     }
 
     /** Places one task of the entry; true when the entry has nothing more to place. */
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -11,7 +11,8 @@
 import org.saffronshore.wire.TaskId;
 
 /**
- * A machine as the cycle sees it; kept from one cycle to the next as long as nothing of it changes. {@code free} is what is free now; {@code room} adds what tasks that are being
+ * A machine as the cycle sees it; kept from one cycle to the next as long as nothing of it changes.
+ * {@code free} is what is free now; {@code room} adds what tasks that are being
  * stopped, or are evicted in memory, will leave. A task that only fits the latter is promised its place, not
  * started there.
  */
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -47,7 +47,7 @@
 
     private Machine up(String id) {
         Machine m = cluster.reported(report(id, 1, ++seq, TERM), true);
-        cluster.inRoster(List.of(m));
+        cluster.roster().entered(List.of(m));
         return m;
     }
 
@@ -92,7 +92,7 @@
         cluster.addRoster("host-1", 0, Set.of(TASK, new TaskId("wk-5", 1)));
         cluster.addJob(Samples.job(alsoHeld ? "wk-1" : "wk-2", "red", Priority.STANDARD, 3, 4), 1, 0, new BitSet());
         Machine m = up("host-2");
-        cluster.inRoster(List.of(m));
+        cluster.roster().entered(List.of(m));
         var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(),
                 cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of()),
                 org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1), loop.now());
@@ -108,16 +108,16 @@
         Machine m = up("host-1");
         job(101);
         loop.pass(5);
-        cluster.freezeSilent();
-        assertEquals(List.of(m), cluster.takeFrozen());
+        cluster.roster().freezeSilent();
+        assertEquals(List.of(m), cluster.roster().takeFrozen());
         cluster.reported(report("host-1", 1, ++seq, TERM), true);
         assertFalse(m.usable(loop.now()));
-        assertTrue(cluster.rosterDue());
-        assertEquals(List.of(m), cluster.notInRoster());
-        cluster.inRoster(List.of(m));
+        assertTrue(cluster.roster().due());
+        assertEquals(List.of(m), cluster.roster().missing());
+        cluster.roster().entered(List.of(m));
         assertTrue(m.usable(loop.now()));
         cluster.gone(m, "returned");
-        assertTrue(cluster.rosterLeft().contains("host-1"));
+        assertTrue(cluster.roster().left().contains("host-1"));
     }
 
     @Test
@@ -417,14 +417,14 @@
             } else {
                 m.heardAt = loop.now();
             }
-            cluster.findDeaf();
+            cluster.hearing().find();
             if (what.endsWith("is answered")) {
                 cluster.called(new Cluster.Call(m, 2, List.of(), List.of()), true, false, report("host-1", 2, ++seq, TERM));
             }
             loop.pass(3);
         }
         assertEquals(usable, m.usable(loop.now()));
-        assertEquals(returned, cluster.uselesslyDeaf(m));
+        assertEquals(returned, cluster.hearing().useless(m));
     }
 
     /** It never shows the new term's token; older jobs wait for it only until the cloud has taken it back. */
@@ -434,12 +434,12 @@
         job(1);
         for (int i = 0; i < 8; i++) {
             cluster.reported(report("host-1", 1, ++seq, TERM - 1), true);
-            cluster.findDeaf();
+            cluster.hearing().find();
             loop.pass(3);
         }
         cluster.reported(report("host-1", 2, ++seq, TERM - 1), true);
         assertFalse(placeable(), "an order of an earlier leader, which knew this session, may still arrive");
-        assertTrue(cluster.uselesslyDeaf(cluster.machine("host-1")));
+        assertTrue(cluster.hearing().useless(cluster.machine("host-1")));
         cluster.gone(cluster.machine("host-1"), "returned");
         assertTrue(placeable());
     }
@@ -468,7 +468,7 @@
             cluster.reported(report(m.id(), 2, ++seq, TERM), true);
         }
         loop.pass(7);
-        assertTrue(all.stream().noneMatch(cluster::uselesslyDeaf));
+        assertTrue(all.stream().noneMatch(cluster.hearing()::useless));
     }
 
     // Late copies of reports
@@ -479,7 +479,7 @@
     void aLateCopyChangesNothing(long session, long tick, String shows) {
         cluster.reported(report("host-1", 2, 1, TERM), true);
         Machine m = cluster.machine("host-1");
-        cluster.inRoster(List.of(m));
+        cluster.roster().entered(List.of(m));
         job(101);
         long attempt = launch(m).launches().get(0).number();
         Report.Task running = task("wk-1", 0, attempt, State.RUNNING, Why.NONE);
