--- a/src/main/java/org/saffronshore/cluster/Attempt.java
+++ b/src/main/java/org/saffronshore/cluster/Attempt.java
@@ -29,6 +29,8 @@
     /** Whether this leader saw it run from the start. */
     boolean fromStart;
     final double placedAt;
+    /** Its job had waited for very long: it is not stopped for others, or the job would never get going. */
+    boolean overdue;
 
     Attempt(TaskId task, long number, Machine machine, JobSpec job, double placedAt) {
         this.task = task;
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -633,12 +633,17 @@
     // Orders
 
     public void place(TaskId task, String machineId) {
+        place(task, machineId, false);
+    }
+
+    public void place(TaskId task, String machineId, boolean overdue) {
         Machine m = machines.get(machineId);
         Job job = jobs.get(task.job());
         if (m == null || job == null || !job.waiting.get(task.index()) || !m.usable(loop.now())) {
             return;
         }
         Attempt a = new Attempt(task, (term << TERM_SHIFT) + ++lastAttempt, m, job.spec, loop.now());
+        a.overdue = overdue;
         job.enter(a);
         m.attempts.put(task, a);
         m.changed();
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -147,7 +147,7 @@
             if (m.host == null || m.host.touched()) {
                 m.host = new Host(m.id, m.kind(), Room.of(type), m::barred, m.images());
                 for (Attempt a : m.attempts.values()) {
-                    m.host.add(new Slot(a.task, a.job, a.stopping, a.runningSince));
+                    m.host.add(new Slot(a.task, a.job, a.stopping, a.runningSince, a.overdue));
                 }
             }
             hosts.add(m.host);
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -279,7 +279,7 @@
                 operator.teamWeights()), operator.tuning(), evict, random, began);
         for (Plan.Placement p : plan.placements()) {
             LOG.debug("placing task {} on {}", p.task(), p.host());
-            cluster.place(p.task(), p.host());
+            cluster.place(p.task(), p.host(), p.overdue());
         }
         for (Plan.Stop s : plan.stops()) {
             cluster.stop(s.task(), s.host(), s.why());
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -185,13 +185,14 @@
             unmet.put(pending, team.tasksWithinLimit(job, pending.left()));
             return true;
         }
+        boolean overdue = pending.isOverdue();
         pending.entered(host.kind.zone());
         team.use(job, tuning);
         failures.teamsChanged();
         host.enter(job);
         if (host.free.fits(job)) {
             host.free.take(job);
-            placements.add(new Plan.Placement(task, host.id));
+            placements.add(new Plan.Placement(task, host.id, overdue));
         }
         return pending.isEmpty();
     }
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -50,9 +50,11 @@
         free.take(slot.job());
         if (!slot.stopping()) {
             room.take(slot.job());
-            slots.add(slot);
             teams.merge(slot.job().team(), 1, Integer::sum);
-            lowest = Math.min(lowest, slot.job().priority().ordinal());
+            if (!slot.kept()) {
+                slots.add(slot);
+                lowest = Math.min(lowest, slot.job().priority().ordinal());
+            }
         }
     }
 
--- a/src/main/java/org/saffronshore/scheduling/Plan.java
+++ b/src/main/java/org/saffronshore/scheduling/Plan.java
@@ -7,7 +7,8 @@
 /** What a cycle decided. */
 public record Plan(List<Placement> placements, List<Stop> stops, List<Unmet> unmet) {
 
-    public record Placement(TaskId task, String host) {}
+    /** {@code overdue}: the task was placed before all others since its job had waited for very long. */
+    public record Placement(TaskId task, String host, boolean overdue) {}
 
     public record Stop(TaskId task, String host, String why) {}
 
--- a/src/main/java/org/saffronshore/scheduling/Slot.java
+++ b/src/main/java/org/saffronshore/scheduling/Slot.java
@@ -3,8 +3,17 @@
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.TaskId;
 
-/** A task on a host as the cycle sees it; {@code since} is when it began to run, NaN as long as it does not. */
-public record Slot(TaskId task, JobSpec job, boolean stopping, double since) {
+/**
+ * A task on a host as the cycle sees it.
+ *
+ * @param since when it began to run, NaN as long as it does not
+ * @param kept whether it is not to be stopped for others
+ */
+public record Slot(TaskId task, JobSpec job, boolean stopping, double since, boolean kept) {
+
+    public Slot(TaskId task, JobSpec job, boolean stopping, double since) {
+        this(task, job, stopping, since, false);
+    }
 
     /** How much of its running time a stop would waste. */
     double lostS(double now) {
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -225,6 +225,20 @@
         assertTrue(m.barred(TASK), "and must go elsewhere");
     }
 
+    /** The one task with which a job gets going that had waited for very long is not stopped for a higher class. */
+    @ParameterizedTest
+    @CsvSource({"false, 1", "true, 0"})
+    void whatGotGoingAtLastIsNotStopped(boolean overdue, int stops) {
+        Machine m = up("host-1");
+        cluster.addJob(Samples.job("wk-1", "free", Priority.STANDARD, 1, 32), 101, 0, new BitSet());
+        cluster.place(TASK, m.id(), overdue);
+        cluster.addJob(Samples.job("wk-2", "free", Priority.URGENT, 1, 32), 102, 0, new BitSet());
+        var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(),
+                cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of()),
+                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1), loop.now());
+        assertEquals(stops, plan.stops().size());
+    }
+
     /** Tasks that are put on a machine that hangs are lost time, for as long as its lease. */
     @Test
     void aSilentMachineGetsNothingNew() {
--- a/src/test/java/org/saffronshore/scheduling/PlainCycle.java
+++ b/src/test/java/org/saffronshore/scheduling/PlainCycle.java
@@ -176,7 +176,7 @@
         host.enter(job);
         if (host.free.fits(job)) {
             host.free.take(job);
-            placements.add(new Plan.Placement(task, host.id));
+            placements.add(new Plan.Placement(task, host.id, false));
         }
         return pending.isEmpty();
     }
