--- a/src/test/java/org/saffronshore/leadership/LeadershipTest.java
+++ b/src/test/java/org/saffronshore/leadership/LeadershipTest.java
@@ -28,6 +28,8 @@
     private final HandLoop loop = new HandLoop();
     private final StateStandIn service = new StateStandIn(loop);
     private final Random random = new Random(5);
+    /** Whether leaders may act on their peers' time for a while after they were served. */
+    private boolean bounded;
     private final List<Candidate> all = new ArrayList<>();
 
     /** One candidate, which can be cut from the state service. */
@@ -79,6 +81,9 @@
 
         /** What the peer link does: a leader asks for time again and again. */
         private void hello() {
+            if (bounded && served()) {
+                leadership.boundGrants(loop.now() + LIFE_S * 5);
+            }
             if (leadership.acting()) {
                 double askedAt = loop.now();
                 for (Candidate peer : reached()) {
@@ -220,6 +225,7 @@
     /** No controller reaches another, and the state service refuses the leader alone: the others agree through it. */
     @Test
     void agreesThroughTheStateServiceWhenPeersAreOutOfReach() {
+        bounded = true;
         three();
         for (int round = 0; round < 4; round++) {
             Candidate leader = leader();
@@ -289,6 +295,7 @@
     @ValueSource(ints = {1, 2, 3, 4, 5, 6})
     void neverTwoAtOnceWhateverIsRestarted(int seed) {
         random.setSeed(seed);
+        bounded = true;
         three();
         for (int round = 0; round < 60; round++) {
             Candidate one = all.isEmpty() ? null : all.get(random.nextInt(all.size()));
