--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -11,6 +11,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,6 +20,10 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.saffronshore.HandLoop;
 import org.saffronshore.Samples;
+import org.saffronshore.scheduling.Cycle;
+import org.saffronshore.scheduling.Plan;
+import org.saffronshore.scheduling.Team;
+import org.saffronshore.scheduling.Tuning;
 import org.saffronshore.wire.Command;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Priority;
@@ -60,6 +65,14 @@
         return cluster.call(m);
     }
 
+    private Map<String, Team> teams() {
+        return cluster.teams(Tuning.START, Map.of());
+    }
+
+    private Plan plan(Map<String, Team> teams) {
+        return Cycle.run(cluster.hosts(), cluster.pending(), teams, Tuning.START, false, new Random(1), loop.now());
+    }
+
     private static List<Command.Op> ops(List<Command> commands) {
         return commands.stream().map(Command::op).toList();
     }
@@ -93,9 +106,7 @@
         cluster.addJob(Samples.job(alsoHeld ? "wk-1" : "wk-2", "red", Priority.STANDARD, 3, 4), 1, 0, new BitSet());
         Machine m = up("host-2");
         cluster.roster().entered(List.of(m));
-        var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(),
-                cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of()),
-                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1), loop.now());
+        Plan plan = plan(teams());
         assertEquals(placeable, plan.placements().stream().map(p -> "" + p.task().index())
                 .collect(java.util.stream.Collectors.joining(" ")));
         cluster.addRoster("host-3", 0, null);
@@ -162,12 +173,11 @@
     void countsWhatMayRunUnseenAgainstTheLimit() {
         cluster.addRoster("host-1", 0, null);
         job(1);
-        var teams = cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of());
+        Map<String, Team> teams = teams();
         var more = Samples.job("wk-2", "red", Priority.STANDARD, 1, 62);
         cluster.addJob(more, KEY + 1, 0, new BitSet());
         Machine m = up("host-2");
-        var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(), teams,
-                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1), loop.now());
+        Plan plan = plan(teams);
         assertTrue(plan.placements().isEmpty() && plan.unmet().isEmpty(), "4 that may run and 62 are beyond 64");
         assertTrue(m.settled());
     }
@@ -233,9 +243,7 @@
         cluster.addJob(Samples.job("wk-1", "free", Priority.STANDARD, 1, 32), 101, 0, new BitSet());
         cluster.place(TASK, m.id(), overdue);
         cluster.addJob(Samples.job("wk-2", "free", Priority.URGENT, 1, 32), 102, 0, new BitSet());
-        var plan = org.saffronshore.scheduling.Cycle.run(cluster.hosts(), cluster.pending(),
-                cluster.teams(org.saffronshore.scheduling.Tuning.START, Map.of()),
-                org.saffronshore.scheduling.Tuning.START, false, new java.util.Random(1), loop.now());
+        Plan plan = plan(teams());
         assertEquals(stops, plan.stops().size());
     }
 
