--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -408,7 +408,7 @@
     // Reports
 
     /** Takes a report that the worker sent by itself, and that is going to be answered with 200. */
-    public Machine reported(Report r, boolean jobsRead) {
+    public Machine reported(Report r) {
         if (gone.containsKey(r.machine())) {
             return null;
         }
@@ -420,20 +420,28 @@
         m.answeredBefore = m.answeredAt;
         // What is older than the newest message was sent before that one came. So however late it is, and whether it
         // is a copy or not, our answer renews the lease for no longer than from then on: copies do not hold for ever.
-        m.answeredAt = !jobsRead || r.newerThan(m.session, m.seq) ? now : Math.max(m.answeredAt, m.heardAt);
+        m.answeredAt = r.newerThan(m.session, m.seq) ? now : Math.max(m.answeredAt, m.heardAt);
         m.type = r.type();
         m.zone = r.zone();
         m.spot = r.spot();
         setAddress(m, r.address());
-        if (jobsRead) {
-            apply(m, r);
+        if (r.session() > m.deadSession && r.newerThan(m.reportSession, m.reportSeq)) {
+            m.reportSession = r.session();
+            m.reportSeq = r.seq();
+            m.quietSince = now;
         }
+        apply(m, r);
         return m;
     }
 
     /** Takes the report in a worker's answer to a direct command, which renews no lease. */
     public void answered(Machine m, Report r) {
         if (machines.get(m.id) == m) {
+            // A worker that reaches no controller still answers calls. That does not make it one to rely on: its lease
+            // runs out. So only the first answer counts, of a machine that is about to find this leader.
+            if (m.quietSince == Double.NEGATIVE_INFINITY) {
+                m.quietSince = loop.now();
+            }
             apply(m, r);
         }
     }
@@ -457,10 +465,12 @@
                 hearing.suspect(m);
             }
             m.session = r.session();
+            // Whatever the machine was told last, a session that is new here may have begun a moment ago, with a lease
+            // of its own from then on.
+            m.answeredAt = Math.max(m.answeredAt, now);
         }
         m.seq = r.seq();
         m.heardAt = now;
-        m.quietSince = now;
         if (!m.up) {
             m.up = true;
             m.upAt = Double.isNaN(m.upAt) ? now : m.upAt;
@@ -644,7 +654,8 @@
         job.failedOn.add(m.id);
         if (job.failedOn.size() >= BAD_JOB_MACHINES) {
             job.backOffs = Math.min(job.backOffs + 1, 6);
-            job.backOffUntil = loop.now() + settings.reportS() * (1 << job.backOffs);
+            // Never for long: it may have been the machines after all, and their trouble may be over.
+            job.backOffUntil = loop.now() + Math.min(settings.leaseS(), settings.reportS() * (1 << job.backOffs));
             LOG.info("job {} failed on {} machines: backing off", job.spec.id(), job.failedOn.size());
             return;
         }
@@ -806,6 +817,12 @@
         return !unsettled.isEmpty() && job.version < termVersion;
     }
 
+    /** Whether a task of the job may be on a machine that is not accounted for, in a zone that nobody knows here. */
+    boolean zoneUnseen(Job job) {
+        return mayBeUnseen(job) && unsettled.stream().anyMatch(m -> m.held == null ? !job.launchedBefore().isEmpty()
+                : m.held.stream().anyMatch(t -> t.job().equals(job.spec.id()) && job.waiting.get(t.index())));
+    }
+
     /** Whether one of the machines not accounted for may hold anything, and not only what was written down. */
     boolean anythingUnseen() {
         return unsettled.stream().anyMatch(m -> m.held == null);
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -25,6 +25,9 @@
     boolean settled;
     long session;
     long seq = -1;
+    /** The same of the newest report that the worker sent by itself. */
+    long reportSession;
+    long reportSeq = -1;
     /** Sessions up to this one are over: what they still say is ignored. */
     long deadSession = -1;
     /** The last moment at which the worker may have been told that its lease is renewed. */
@@ -33,7 +36,7 @@
     double answeredBefore = Double.NEGATIVE_INFINITY;
     double firstAnsweredAt = Double.NaN;
     double heardAt = Double.NEGATIVE_INFINITY;
-    /** From when its silence counts: its last report, or when this node could hear again after a standstill. */
+    /** From when its silence counts: its last own report, its first answer, or when this node could hear again after a standstill. */
     double quietSince = Double.NEGATIVE_INFINITY;
     /** Its reports come, but nothing that it is told seems to arrive. */
     boolean deaf;
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -190,10 +190,16 @@
             }
             Map<String, Integer> perZone = Map.of();
             if (Pending.zonesMatter(job.spec)) {
+                if (cluster.zoneUnseen(job)) {
+                    continue;
+                }
                 perZone = new HashMap<>();
                 for (Attempt a : job.placed.values()) {
                     perZone.merge(a.machine.zone, 1, Integer::sum);
                 }
+                for (Attempt a : job.others) {
+                    perZone.merge(a.machine.zone, 1, Integer::sum);
+                }
             }
             Pending pending = new Pending(job.spec, job.version, waiting, perZone);
             boolean waitsLong = job.waitedS(loop.wallMs()) > PATIENCE_LEASES * settings.leaseS();
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -186,7 +186,7 @@
     private void page(String after, Set<String> ids, double requestedAt) {
         cloud.list(after, answer -> {
             JsonNode body = answer.ok() ? answer.json() : null;
-            if (!leader.acting() || body == null || !body.path("Cadres").isArray()) {
+            if (!leader.entitled() || body == null || !body.path("Cadres").isArray()) {
                 listBusy = false;
                 return;
             }
--- a/src/main/java/org/saffronshore/control/JobFeed.java
+++ b/src/main/java/org/saffronshore/control/JobFeed.java
@@ -27,7 +27,6 @@
     private final StateClient state;
     private final Leader leader;
     private final Cluster cluster;
-    private double readAt;
 
     JobFeed(Node node, Leader leader, Cluster cluster) {
         this.loop = node.loop();
@@ -35,12 +34,6 @@
         this.state = node.state();
         this.leader = leader;
         this.cluster = cluster;
-        this.readAt = loop.now();
-    }
-
-    /** The last moment whose cancellations are known here. */
-    double readAt() {
-        return readAt;
     }
 
     /** Takes the jobs that were open when the term began, and follows what becomes of them. */
@@ -76,8 +69,8 @@
             }
             JsonNode body = answer.ok() ? answer.json() : null;
             if (body != null && body.path("Events").isArray()) {
-                readAsOf(askedAt);
                 changes(body.get("Events"));
+                leader.cancellationsRead(askedAt);
                 watch(Json.count(body, "Ledger", from));
             } else if (answer.status() == 410) {
                 relist();
@@ -87,11 +80,6 @@
         });
     }
 
-    void readAsOf(double askedAt) {
-        readAt = askedAt;
-        leader.cancellationsKnown(readAt);
-    }
-
     private void changes(JsonNode events) {
         for (JsonNode e : events) {
             String set = Json.text(e, "Set");
@@ -126,7 +114,7 @@
                     leader.remove(job.spec().id());
                 }
             }
-            readAsOf(askedAt);
+            leader.cancellationsRead(askedAt);
             watch(jobs.revision());
             leader.act();
         });
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -55,6 +55,8 @@
     private int callsOut;
     private final int mostCalls;
     private boolean cyclePlanned;
+    private final KnownCancellations cancellations;
+    private final double startedAt;
     private double awakeAt;
     private double refusedSince = Double.POSITIVE_INFINITY;
     private double lastCycleS;
@@ -70,6 +72,8 @@
         this.random = node.random();
         this.peers = node.peers();
         this.term = term;
+        this.startedAt = loop.now();
+        this.cancellations = new KnownCancellations(settings);
         this.mostCalls = Math.max(4, settings.sockets() / 8);
         this.nothingToDo = Json.bytes(answer(List.of()));
         this.cluster = new Cluster(loop, settings, term, keyVersion);
@@ -90,6 +94,11 @@
         return !ended && leadership.acting();
     }
 
+    /** Whether nobody else may act, although this node may not know enough yet to act itself. */
+    boolean entitled() {
+        return !ended && leadership.entitled();
+    }
+
     boolean loaded() {
         return loaded;
     }
@@ -104,8 +113,8 @@
 
     void start() {
         awakeAt = loop.now();
-        feed.readAsOf(loop.now());
         load();
+        loop.after(settings.reportS() / 12, this::makeWay);
         repeat(settings.reportS() / 12, this::tick);
         repeat(settings.reportS() / 3, this::saveProgress);
         repeat(settings.reportS(), this::readOperator);
@@ -163,6 +172,7 @@
     // What the state service knows
 
     private void load() {
+        double askedAt = loop.now();
         state.lists(List.of(Keys.PROGRESS, Keys.ROSTER, Keys.REACH, Keys.JOBS), read -> {
             if (ended) {
                 return;
@@ -175,6 +185,7 @@
             feed.begin(jobs, records.readProgress(read.get(Keys.PROGRESS)), records.readReach(read.get(Keys.REACH)));
             records.begin(read.get(Keys.ROSTER));
             loaded = true;
+            cancellationsRead(askedAt);
             LOG.info("term {}: {} open jobs, {} machines that may hold tasks", term, jobs.entries().size(),
                     cluster.unsettledCount());
             feed.watch(jobs.revision());
@@ -182,13 +193,32 @@
         });
     }
 
-    /**
-     * The peers' time lets a leader act without the state service only as long as a cancellation that it cannot
-     * see is still carried out in time: should it stop acting then, the workers' leases end the rest.
-     */
-    void cancellationsKnown(double asOf) {
-        leadership.boundGrants(asOf
-                + settings.cancelS() - Settings.stretched(settings.leaseS()) - 2 * settings.reportS());
+    /** All that was cancelled up to some moment is known here; see {@link KnownCancellations}. */
+    private void cancellationsKnown() {
+        leadership.keepAliveUntil(cancellations.keepsAliveUntil());
+    }
+
+    void cancellationsRead(double asOf) {
+        cancellations.read(asOf);
+        cancellationsKnown();
+    }
+
+    /** A peer has told which cancellations it learned of; its answer was asked for at that moment. */
+    void cancellationsTold(String peer, double askedAt, double coveredSince, List<String> jobs) {
+        if (!loaded) {
+            return;
+        }
+        jobs.forEach(this::cancelled);
+        cancellations.told(peer, askedAt, coveredSince);
+        cancellationsKnown();
+    }
+
+    /** The state service has the job as cancelled, as this node or a peer has read or written itself. */
+    void cancelled(String job) {
+        if (loaded && cluster.job(job) != null) {
+            remove(job);
+            act();
+        }
     }
 
     /** The job is over. */
@@ -230,8 +260,8 @@
         if (!acting() || cluster.isGone(report.machine())) {
             return null;
         }
-        Machine machine = cluster.reported(report, loaded);
-        List<Command> commands = loaded ? cluster.responseCommands(machine) : List.of();
+        Machine machine = cluster.reported(report);
+        List<Command> commands = cluster.responseCommands(machine);
         act();
         return commands.isEmpty() ? nothingToDo : Json.bytes(answer(commands));
     }
@@ -258,18 +288,21 @@
         }
     }
 
-    private void tick() {
-        if (leadership.permitted() && loop.now() > feed.readAt() + settings.cancelS() / 3) {
-            leadership.stepDown("cancellations cannot be read");
+    /** Leaves the lead to others where they can do more with it, also when this node may not act itself. */
+    private void makeWay() {
+        if (ended) {
             return;
         }
-        if (refusedAlone()) {
+        if (leadership.permitted() && loop.now() > Math.max(startedAt, cancellations.readAt()) + settings.cancelS() / 3) {
+            leadership.stepDown("cancellations cannot be read");
+        } else if (refusedAlone()) {
             leadership.stepDown("the state service serves its peers, and not it");
-            return;
-        }
-        if (!loaded) {
-            return;
+        } else {
+            loop.after(settings.reportS() / 12, this::makeWay);
         }
+    }
+
+    private void tick() {
         if (peers.alone(settings.reportS()) && cluster.mostlySilent(2 * settings.reportS())) {
             leadership.giveWay("it hears neither its peers nor most machines");
             return;
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.IoEventLoopGroup;
+import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.saffronshore.admin.AdminApi;
@@ -55,6 +56,11 @@
         this.random = random;
         this.state = new StateClient(loop, client, settings);
         this.store = new JobStore(loop, state, settings);
+        store.onCancelled(id -> {
+            if (leader != null) {
+                leader.cancelled(id);
+            }
+        });
         this.cloud = new CloudClient(loop, client, settings);
         this.peers = new PeerLink(this);
         this.leadership = new Leadership(loop, state, settings, random, this, peers);
@@ -271,6 +277,13 @@
         return leader != null && leader.acting() ? leader : null;
     }
 
+    /** What a peer learned of cancellations, in answer to a question of the leader of that term. */
+    void cancellationsTold(long term, String peer, double askedAt, double coveredSince, List<String> jobs) {
+        if (leader != null && leadership.term() == term) {
+            leader.cancellationsTold(peer, askedAt, coveredSince, jobs);
+        }
+    }
+
     private Progress progress(String job) {
         Leader acting = actingLeader();
         return acting != null ? acting.progress(job) : peers.progress(job);
--- a/src/main/java/org/saffronshore/control/Pages.java
+++ b/src/main/java/org/saffronshore/control/Pages.java
@@ -142,15 +142,11 @@
                 break;
             }
             // Without this guard a write that is carried out late would put an older page over a newer one.
+            // And a page that has become empty stays: with its key gone, a late write that created it could do so again.
             txn.guard(page.key, page.version);
-            if (page.entries.isEmpty()) {
-                txn.remove(page.key);
-                batch.removed.add(page);
-            } else {
-                ObjectNode value = Json.object();
-                page.entries.forEach(value::set);
-                txn.set(page.key, value);
-            }
+            ObjectNode value = Json.object();
+            page.entries.forEach(value::set);
+            txn.set(page.key, value);
             bytes += page.bytes;
             page.dirty = false;
             batch.pages.add(page);
@@ -161,7 +157,6 @@
     /** Pages that are being written. */
     final class Batch {
         private final List<Page> pages = new ArrayList<>();
-        private final Set<Page> removed = new HashSet<>();
 
         boolean isEmpty() {
             return pages.isEmpty();
@@ -180,7 +175,7 @@
             JsonNode body = answer.json();
             if (answer.ok() && body != null) {
                 long version = Json.count(body, "Ledger", 0);
-                pages.forEach(page -> page.version = removed.contains(page) ? 0 : version);
+                pages.forEach(page -> page.version = version);
                 return true;
             }
             Set<String> refused = new HashSet<>();
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -1,6 +1,7 @@
 package org.saffronshore.control;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -79,6 +80,12 @@
                     if (Json.flag(back, "granted") && term == node.leadership().term()) {
                         node.leadership().granted(peer.node(), askedAt);
                     }
+                    if (back.path("cancelled").isArray()) {
+                        List<String> jobs = new ArrayList<>();
+                        back.get("cancelled").forEach(id -> jobs.add(id.asText()));
+                        double coveredS = Settings.shrunk(Json.number(back, "cancelled_s", 0));
+                        node.cancellationsTold(term, peer.node(), askedAt, loop.now() - coveredS, jobs);
+                    }
                 }
             });
         }
@@ -241,6 +248,9 @@
         } else {
             if (path.equals(HELLO)) {
                 heard(message);
+                if (term >= 0) {
+                    tellCancellations(answer);
+                }
             }
             answer.put("granted", term >= 0 && node.leadership().give(from, life, term, path.equals(VOTE),
                     Json.flag(message, "served"), node.served()));
@@ -249,6 +259,16 @@
         return true;
     }
 
+    /**
+     * To a leader, which may be refused by the state service while this node is served: what was cancelled, so that
+     * it stops the tasks at once; and for how long nothing is missing, so that in an outage it may go on with others.
+     */
+    private void tellCancellations(ObjectNode answer) {
+        ArrayNode jobs = answer.putArray("cancelled");
+        node.store().recentlyCancelled().forEach(jobs::add);
+        answer.put("cancelled_s", node.store().cancellationsCoverS());
+    }
+
     /** Whether the state service has served some peer since that moment, and for some time after it. */
     boolean servedSince(double moment) {
         return servedAt.values().stream().anyMatch(at -> at > moment + 2 * periodS);
--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -61,7 +61,7 @@
     /** Tries in a row in which most peers said nothing at all. */
     private int unreached;
     private long watchFrom = -1;
-    private double grantsBoundedBy = Double.NEGATIVE_INFINITY;
+    private double keepsAliveUntil = Double.NEGATIVE_INFINITY;
     private double standAgainAt = Double.NEGATIVE_INFINITY;
 
     public Leadership(Loop loop, StateClient state, Settings settings, RandomGenerator random, Listener listener,
@@ -82,10 +82,15 @@
         readLeader();
     }
 
-    /** Whether this node may act for the controllers at this moment. */
-    public boolean acting() {
+    /** Whether nobody else may act: by its permit, or by its peers' time. */
+    public boolean entitled() {
         double now = loop.now();
-        return leading && (now < validUntil || now < grantsBoundedBy && now < grants.heldUntil());
+        return leading && (now < validUntil || now < grants.heldUntil());
+    }
+
+    /** Whether this node may act for the controllers at this moment: also, whether it knows enough to. */
+    public boolean acting() {
+        return entitled() && loop.now() < keepsAliveUntil;
     }
 
     /** Whether the permit itself is known to live, not only the time that the peers give. */
@@ -93,9 +98,12 @@
         return leading && loop.now() < validUntil;
     }
 
-    /** Beyond this moment the peers' time does not help: cancellations might be unknown here for too long. */
-    public void boundGrants(double until) {
-        grantsBoundedBy = until;
+    /**
+     * Whatever lets this node lead, from this moment on it renews no lease and launches nothing: by then it might
+     * keep a task alive for too long whose cancellation it does not know.
+     */
+    public void keepAliveUntil(double until) {
+        keepsAliveUntil = until;
     }
 
     public String incarnation() {
@@ -115,7 +123,7 @@
      */
     public boolean give(String node, String life, long askedTerm, boolean candidate, boolean peerServed,
             boolean served) {
-        if (acting() || served && (!peerServed || !candidate && askedTerm != leaderTerm)) {
+        if (entitled() || served && (!peerServed || !candidate && askedTerm != leaderTerm)) {
             return false;
         }
         return grants.give(node, life, askedTerm);
@@ -314,7 +322,7 @@
             term = next;
             keyVersion = Json.count(body, "Ledger", 0);
             validUntil = sentAt + Settings.shrunk(lifeS);
-            grantsBoundedBy = Double.NEGATIVE_INFINITY;
+            keepsAliveUntil = Double.NEGATIVE_INFINITY;
             grants.holdNone();
             renewal++;
             LOG.info("{} leads term {}: the leader's key was free; permit {}", settings.node(), term, permit);
--- a/src/main/java/org/saffronshore/leadership/StateBallot.java
+++ b/src/main/java/org/saffronshore/leadership/StateBallot.java
@@ -51,9 +51,9 @@
             if (body == null && answer.status() != 404) {
                 then.accept(Set.of());
             } else if (body != null && goesFirst(body.path("Data"), term)) {
-                give(body.path("Data"), term, giver, () -> then.accept(Set.of()));
+                give(body, term, giver, () -> then.accept(Set.of()));
             } else {
-                call(term, enough, then);
+                call(term, body == null ? 0 : Json.count(body, "Stamp", -1), enough, then);
             }
         });
     }
@@ -70,21 +70,23 @@
         return seen <= STALE;
     }
 
-    private void give(JsonNode call, long term, Giver giver, Runnable then) {
+    private void give(JsonNode entry, long term, Giver giver, Runnable then) {
+        JsonNode call = entry.path("Data");
         String to = Json.text(call, "Node");
         String toLife = Json.text(call, "Life");
         if (toLife == null || !giver.give(to, toLife, term)) {
             then.run();
             return;
         }
-        Txn txn = new Txn().set(Keys.vote(node), Json.object().put("Term", term).put("To", to).put("Life", toLife)
+        // Carried out late, it must not stand in the place of a vote for a later call.
+        Txn txn = new Txn().guard(Keys.CALL, Json.count(entry, "Stamp", -1)).set(Keys.vote(node), Json.object().put("Term", term).put("To", to).put("Life", toLife)
                 .put("N", Json.count(call, "N", 0)));
         state.commit(txn, true, answer -> then.run());
     }
 
-    private void call(long term, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
+    private void call(long term, long version, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
         long number = ++calls;
-        Txn txn = new Txn().set(Keys.CALL, Json.object().put("Node", node).put("Life", life).put("Term", term)
+        Txn txn = new Txn().guard(Keys.CALL, version).set(Keys.CALL, Json.object().put("Node", node).put("Life", life).put("Term", term)
                 .put("N", number));
         state.commit(txn, true, answer -> {
             if (answer.ok()) {
--- a/src/main/java/org/saffronshore/state/JobStore.java
+++ b/src/main/java/org/saffronshore/state/JobStore.java
@@ -27,10 +27,13 @@
     public enum Accepted { NEW, KNOWN, UNKNOWN, OVERLOADED }
 
     private static final int REMEMBERED = 20_000;
+    private static final int MOST_CANCELLED = 500;
     private static final double PAUSE_S = 0.05;
     /** A transaction may be 64 KiB long; this leaves room for its guards. */
     private static final int MOST_BYTES = 40 * 1024;
 
+    private record Cancelled(String id, double at) {}
+
     private record Submission(JobSpec job, JsonNode record, int bytes, Consumer<Accepted> then) {}
 
     private final Loop loop;
@@ -39,6 +42,12 @@
     private final int mostWaiting;
     private final ArrayDeque<Submission> waiting = new ArrayDeque<>();
     private boolean committing;
+    private final double tellsWithinS;
+    /** Cancellations that this process made or read of, the latest last. */
+    private final ArrayDeque<Cancelled> cancelled = new ArrayDeque<>();
+    /** None learned of since then is missing there. */
+    private double cancelledSince;
+    private Consumer<String> onCancelled = id -> { };
     private final Map<String, Status> ends = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -51,6 +60,8 @@
     public JobStore(Loop loop, StateClient state, Settings settings) {
         this.loop = loop;
         this.state = state;
+        this.tellsWithinS = settings.cancelS();
+        this.cancelledSince = loop.now();
         this.mostPerTxn = Math.max(1, settings.txnOps());
         // About what the write budget takes in a second.
         this.mostWaiting = (int) Math.max(4, settings.stateWriteRps() / settings.controllers());
@@ -171,10 +182,33 @@
     }
 
     public Status remember(String id, Status end) {
-        ends.put(id, end);
+        if (ends.put(id, end) == null && end == Status.CANCELLED) {
+            cancelled.add(new Cancelled(id, loop.now()));
+            onCancelled.accept(id);
+        }
         return end;
     }
 
+    /** Whom to tell at once that this process made a cancellation, or read of one. */
+    public void onCancelled(Consumer<String> listener) {
+        onCancelled = listener;
+    }
+
+    /** The cancellations that this process learned of within the time that one may take. Whatever users were told here is among them. */
+    public List<String> recentlyCancelled() {
+        while (!cancelled.isEmpty()
+                && (cancelled.size() > MOST_CANCELLED || cancelled.peek().at < loop.now() - tellsWithinS)) {
+            cancelledSince = cancelled.poll().at;
+        }
+        return cancelled.stream().map(Cancelled::id).toList();
+    }
+
+    /** For how long {@link #recentlyCancelled} lacks nothing. */
+    public double cancellationsCoverS() {
+        recentlyCancelled();
+        return loop.now() - cancelledSince;
+    }
+
     /** Cancels a job that is open. The answer is how the job stands after that. */
     public void cancel(String id, Consumer<Status> then) {
         cancel(id, 3, then);
--- a/src/test/java/org/saffronshore/HandLoop.java
+++ b/src/test/java/org/saffronshore/HandLoop.java
@@ -30,6 +30,11 @@
         return now;
     }
 
+    @Override
+    public long wallMs() {
+        return Math.round(now * 1000);
+    }
+
     @Override
     public Timer after(double seconds, Runnable action) {
         Entry entry = new Entry(now + Math.max(0, seconds), order++, action);
--- a/src/test/java/org/saffronshore/cluster/ClusterTest.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTest.java
@@ -52,7 +52,7 @@
     }
 
     private Machine up(String id) {
-        Machine m = cluster.reported(report(id, 1, ++seq, TERM), true);
+        Machine m = cluster.reported(report(id, 1, ++seq, TERM));
         cluster.roster().entered(List.of(m));
         return m;
     }
@@ -97,10 +97,10 @@
     void aMachineIsSettledOnceItKnowsTheToken() {
         cluster.addRoster("host-1", 0, null);
         job(1);
-        cluster.reported(report("host-1", 1, 1, TERM - 1), true);
+        cluster.reported(report("host-1", 1, 1, TERM - 1));
         assertFalse(placeable(), "an order of the last leader may still arrive there");
         assertNotNull(cluster.call(cluster.machine("host-1")), "it is told the token at once");
-        cluster.reported(report("host-1", 1, 2, TERM), true);
+        cluster.reported(report("host-1", 1, 2, TERM));
         assertTrue(placeable());
     }
 
@@ -183,7 +183,7 @@
         loop.pass(5);
         cluster.roster().freezeSilent();
         assertEquals(List.of(m), cluster.roster().takeFrozen());
-        cluster.reported(report("host-1", 1, ++seq, TERM), true);
+        cluster.reported(report("host-1", 1, ++seq, TERM));
         assertFalse(m.usable(loop.now()));
         assertTrue(cluster.roster().due());
         assertEquals(List.of(m), cluster.roster().missing());
@@ -219,7 +219,7 @@
     void adoptsWhatRuns() {
         cluster.addRoster("host-1", 0, null);
         job(1);
-        cluster.reported(report("host-1", 1, 1, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)), true);
+        cluster.reported(report("host-1", 1, 1, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)));
         assertFalse(placeable());
         assertEquals(1, cluster.job("wk-1").running());
     }
@@ -227,7 +227,7 @@
     @Test
     void stopsWhatBelongsToNoOpenJob() {
         Machine m = up("host-1");
-        cluster.reported(report("host-1", 1, 9, TERM, task("wk-7", 0, 7, State.RUNNING, Why.NONE)), true);
+        cluster.reported(report("host-1", 1, 9, TERM, task("wk-7", 0, 7, State.RUNNING, Why.NONE)));
         assertEquals(List.of(Command.Op.STOP), ops(cluster.call(m).commands()));
     }
 
@@ -256,7 +256,7 @@
         if (what.equals("unseen")) {
             cluster.addRoster("host-2", 0, null);
         } else if (what.equals("shown")) {
-            cluster.reported(report("host-2", 1, 9, TERM, task("wk-7", 0, 7, State.RUNNING, Why.NONE)), true);
+            cluster.reported(report("host-2", 1, 9, TERM, task("wk-7", 0, 7, State.RUNNING, Why.NONE)));
         } else if (!what.equals("gone")) {
             cluster.addRoster("host-2", 0, Set.of(new TaskId(what.equals("written down") ? "wk-7" : "wk-8", 0)));
         }
@@ -266,7 +266,7 @@
                 256, 50, 1, 2, 1, 40, List.of("a"))));
         cluster.listed("host-3", null, "huge", "a", true, false, 90);
         Machine huge = cluster.reported(new Report("host-3", "10.1.0.1:9000", "huge", "a", true, 1, 1, TERM, null,
-                List.of()), true);
+                List.of()));
         cluster.roster().entered(List.of(m, huge));
         assertEquals(placed, plan(teams()).placements().stream().filter(p -> p.task().job().equals("wk-2")).count());
     }
@@ -286,7 +286,7 @@
         cluster.called(call, executed, surelyNot, answer);
         assertEquals(placeable, placeable());
         cluster.reported(report("host-1", 1, 51, TERM, executed ? answer.tasks().toArray(new Report.Task[0])
-                : new Report.Task[0]), true);
+                : new Report.Task[0]));
         assertEquals(placeable, placeable(), "a report without the task proves nothing while the launch is on its way");
     }
 
@@ -295,7 +295,7 @@
         job(101);
         Machine m = up("host-1");
         cluster.called(launch(m), false, false, null);
-        cluster.reported(report("host-1", 2, 60, TERM), true);
+        cluster.reported(report("host-1", 2, 60, TERM));
         assertTrue(placeable());
     }
 
@@ -318,7 +318,7 @@
         Cluster.Call call = launch(m);
         cluster.called(call, false, false, null);
         Report.Task ended = task("wk-1", 0, call.launches().get(0).number(), State.EXITED, Why.ERROR);
-        cluster.reported(report("host-1", 1, 50, TERM, ended), true);
+        cluster.reported(report("host-1", 1, 50, TERM, ended));
         assertTrue(placeable(), "it is over there");
         assertFalse(ops(cluster.responseCommands(m)).contains(Command.Op.FORGET));
         assertTrue(m.barred(TASK), "and must go elsewhere");
@@ -365,7 +365,7 @@
         cluster.expireLeases();
         assertTrue(placeable());
         cluster.reported(report("host-1", 1, 70, TERM, task("wk-1", 0, call.launches().get(0).number(),
-                State.RUNNING, Why.NONE)), true);
+                State.RUNNING, Why.NONE)));
         assertTrue(placeable(), "a late report of a session that is over changes nothing");
     }
 
@@ -389,8 +389,8 @@
         Cluster.Call call = launch(m);
         long attempt = call.launches().get(0).number();
         cluster.called(call, true, false, report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)));
-        cluster.reported(report("host-1", 1, 49, TERM), true);
-        cluster.reported(report("host-1", 0, 99, TERM), true);
+        cluster.reported(report("host-1", 1, 49, TERM));
+        cluster.reported(report("host-1", 0, 99, TERM));
         assertFalse(placeable());
     }
 
@@ -406,7 +406,7 @@
         assertEquals(gone, cluster.machine("host-1") == null);
         assertEquals(gone, placeable());
         if (gone) {
-            assertNull(cluster.reported(report("host-1", 1, 99, TERM), true), "its late reports are not answered");
+            assertNull(cluster.reported(report("host-1", 1, 99, TERM)), "its late reports are not answered");
         }
     }
 
@@ -443,16 +443,16 @@
         }
         Machine bad = up("host-1");
         for (int i = 0; i < Cluster.STRIKES; i++) {
-            cluster.reported(report("host-1", 1, 100 + 2 * i, TERM, task("wk-" + i, 0, 7, State.RUNNING, Why.NONE)), true);
-            cluster.reported(report("host-1", 1, 101 + 2 * i, TERM, task("wk-" + i, 0, 7, State.EXITED, Why.ERROR)), true);
+            cluster.reported(report("host-1", 1, 100 + 2 * i, TERM, task("wk-" + i, 0, 7, State.RUNNING, Why.NONE)));
+            cluster.reported(report("host-1", 1, 101 + 2 * i, TERM, task("wk-" + i, 0, 7, State.EXITED, Why.ERROR)));
         }
         assertTrue(bad.distrusted());
         assertEquals(2, cluster.pending(true).size(), "the jobs are not to blame");
 
         for (int i = 2; i < 5; i++) {
             up("host-" + i);
-            cluster.reported(report("host-" + i, 1, 200, TERM, task("wk-1", 0, 7 + i, State.RUNNING, Why.NONE)), true);
-            cluster.reported(report("host-" + i, 1, 201, TERM, task("wk-1", 0, 7 + i, State.EXITED, Why.ERROR)), true);
+            cluster.reported(report("host-" + i, 1, 200, TERM, task("wk-1", 0, 7 + i, State.RUNNING, Why.NONE)));
+            cluster.reported(report("host-" + i, 1, 201, TERM, task("wk-1", 0, 7 + i, State.EXITED, Why.ERROR)));
         }
         assertEquals(List.of("wk-0"), cluster.pending(true).stream().map(p -> p.job.id()).toList());
         assertFalse(cluster.machine("host-4").distrusted());
@@ -470,9 +470,9 @@
         Machine m = up("host-1");
         long attempt = launch(m).launches().get(0).number();
         Report.Task running = task("wk-1", 0, attempt, State.RUNNING, Why.NONE);
-        cluster.reported(report("host-1", 1, 50, TERM, running), true);
+        cluster.reported(report("host-1", 1, 50, TERM, running));
         loop.pass(ran);
-        cluster.reported(new Report("host-1", "10.1.0.1:9000", "big", "a", true, 1, 51, TERM, 14.0, List.of(running)), true);
+        cluster.reported(new Report("host-1", "10.1.0.1:9000", "big", "a", true, 1, 51, TERM, 14.0, List.of(running)));
         assertEquals(stopped, m.attempts().iterator().next().stopping());
         assertFalse(m.usable(loop.now()));
     }
@@ -484,10 +484,10 @@
         cluster.addJob(job, 101, 0, new BitSet(), Integer.MAX_VALUE);
         Machine m = up("host-1");
         long attempt = launch(m).launches().get(0).number();
-        cluster.reported(report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)), true);
+        cluster.reported(report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)));
         assertFalse(cluster.movable(m, 10));
         loop.pass(11);
-        cluster.reported(report("host-1", 1, 51, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)), true);
+        cluster.reported(report("host-1", 1, 51, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)));
         assertTrue(cluster.movable(m, 10));
         cluster.empty(m);
         assertTrue(m.draining() && !m.usable(loop.now()));
@@ -516,7 +516,7 @@
             Cluster.Call call = lostLaunch(m);
             if (what.endsWith("is seen")) {
                 cluster.reported(report("host-1", 1, ++seq, TERM, task("wk-1", 0, call.launches().get(0).number(),
-                        State.RUNNING, Why.NONE)), true);
+                        State.RUNNING, Why.NONE)));
             }
         } else {
             session = 2;
@@ -524,7 +524,7 @@
         }
         for (int i = 0; i < 9; i++) {
             if (m.count() == 0 || !what.equals("launch is seen")) {
-                cluster.reported(report("host-1", session, ++seq, TERM), true);
+                cluster.reported(report("host-1", session, ++seq, TERM));
             } else {
                 m.quietSince = loop.now();
             }
@@ -568,11 +568,11 @@
         cluster.addRoster("host-1", 60, null);
         job(1);
         for (int i = 0; i < 8; i++) {
-            cluster.reported(report("host-1", 1, ++seq, TERM - 1), true);
+            cluster.reported(report("host-1", 1, ++seq, TERM - 1));
             cluster.hearing().find();
             loop.pass(3);
         }
-        cluster.reported(report("host-1", 2, ++seq, TERM - 1), true);
+        cluster.reported(report("host-1", 2, ++seq, TERM - 1));
         assertFalse(placeable(), "an order of an earlier leader, which knew this session, may still arrive");
         assertTrue(cluster.hearing().useless(cluster.machine("host-1")));
         cluster.gone(cluster.machine("host-1"), "returned");
@@ -585,9 +585,9 @@
         Machine m = up("host-1");
         job(101);
         lostLaunch(m);
-        cluster.reported(report("host-1", 1, ++seq, TERM), true);
+        cluster.reported(report("host-1", 1, ++seq, TERM));
         assertFalse(placeable(), "the launch may yet arrive");
-        cluster.reported(report("host-1", 2, ++seq, TERM), true);
+        cluster.reported(report("host-1", 2, ++seq, TERM));
         assertTrue(placeable());
         assertFalse(m.usable(loop.now()), "but not there");
     }
@@ -600,7 +600,7 @@
             all.add(up("host-" + i));
         }
         for (Machine m : all) {
-            cluster.reported(report(m.id(), 2, ++seq, TERM), true);
+            cluster.reported(report(m.id(), 2, ++seq, TERM));
         }
         loop.pass(7);
         assertTrue(all.stream().noneMatch(cluster.hearing()::useless));
@@ -612,16 +612,16 @@
     @ParameterizedTest
     @CsvSource({"2, 5, EXITED", "2, 5, none", "1, 90, none", "1, 90, RUNNING", "2, 9, none"})
     void aLateCopyChangesNothing(long session, long tick, String shows) {
-        cluster.reported(report("host-1", 2, 1, TERM), true);
+        cluster.reported(report("host-1", 2, 1, TERM));
         Machine m = cluster.machine("host-1");
         cluster.roster().entered(List.of(m));
         job(101);
         long attempt = launch(m).launches().get(0).number();
         Report.Task running = task("wk-1", 0, attempt, State.RUNNING, Why.NONE);
-        cluster.reported(new Report("host-1", "10.1.0.1:9000", "big", "a", true, 2, 9, TERM, 60.0, List.of(running)), true);
+        cluster.reported(new Report("host-1", "10.1.0.1:9000", "big", "a", true, 2, 9, TERM, 60.0, List.of(running)));
         Report copy = shows.equals("none") ? report("host-1", session, tick, TERM)
                 : report("host-1", session, tick, TERM, task("wk-1", 0, attempt, State.valueOf(shows), Why.ERROR));
-        cluster.reported(copy, true);
+        cluster.reported(copy);
         assertEquals(1, cluster.job("wk-1").running());
         assertFalse(placeable());
         assertEquals(2, m.session);
@@ -635,18 +635,18 @@
         job(101);
         long attempt = launch(m).launches().get(0).number();
         Report last = report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE));
-        cluster.reported(last, true);
+        cluster.reported(last);
         for (int i = 0; i < (int) Samples.LEASE_S; i++) {
             loop.pass(1);
-            cluster.reported(last, true);
+            cluster.reported(last);
             cluster.expireLeases();
             assertFalse(placeable(), "its lease may run");
         }
         loop.pass(1);
-        cluster.reported(last, true);
+        cluster.reported(last);
         cluster.expireLeases();
         assertTrue(placeable());
-        cluster.reported(last, true);
+        cluster.reported(last);
         assertTrue(placeable(), "a copy over a lease old brings nothing back");
         assertFalse(m.usable(loop.now()));
         assertEquals(0, cluster.hosts().size());
@@ -662,7 +662,7 @@
         Report.Task running = task("wk-1", 0, call.launches().get(0).number(), State.RUNNING, Why.NONE);
         cluster.called(call, true, false, report("host-1", 1, 60, TERM, running));
         loop.pass(2);
-        cluster.reported(report("host-1", 1, 59, TERM), true);
+        cluster.reported(report("host-1", 1, 59, TERM));
         cluster.expireLeases();
         assertFalse(placeable());
         loop.pass(Samples.LEASE_S + 1);
@@ -674,14 +674,14 @@
     void aCopyBringsNoReturnedMachineBack() {
         Machine m = up("host-1");
         cluster.gone(m, "returned");
-        assertNull(cluster.reported(report("host-1", 1, 99, TERM), true));
+        assertNull(cluster.reported(report("host-1", 1, 99, TERM)));
         assertNull(cluster.machine("host-1"));
     }
 
     /** After a change of leader nothing newer is known: a copy of long ago must not pass for a machine with room. */
     @Test
     void aCopyFromAnEarlierTermIsNoCapacity() {
-        cluster.reported(report("host-1", 1, 99, TERM - 2), true);
+        cluster.reported(report("host-1", 1, 99, TERM - 2));
         assertEquals(0, cluster.hosts().size());
         loop.pass(10);
         assertEquals(0, cluster.lines(1.6, true).size(), "nor is it counted on when machines are rented");
@@ -697,11 +697,11 @@
         job(1);
         Report.Task old = task("wk-1", 0, 7, State.RUNNING, Why.NONE);
         Report.Task now = task("wk-1", 0, 8, State.RUNNING, Why.NONE);
-        cluster.reported(report("host-1", 1, 5, TERM - 1, old), true);
-        cluster.reported(report("host-2", 1, 1, TERM, now), true);
+        cluster.reported(report("host-1", 1, 5, TERM - 1, old));
+        cluster.reported(report("host-2", 1, 1, TERM, now));
         Machine second = cluster.machine("host-2");
         assertFalse(second.attempts().iterator().next().stopping());
-        cluster.reported(report("host-1", 1, 90, TERM), true);
+        cluster.reported(report("host-1", 1, 90, TERM));
         assertFalse(placeable(), "it runs on host-2");
         assertEquals(1, cluster.job("wk-1").running());
     }
@@ -712,14 +712,14 @@
         cluster.addRoster("host-1", 60, null);
         cluster.addRoster("host-2", 60, null);
         job(1);
-        cluster.reported(report("host-1", 1, 5, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)), true);
-        cluster.reported(report("host-2", 1, 5, TERM, task("wk-1", 0, 8, State.RUNNING, Why.NONE)), true);
+        cluster.reported(report("host-1", 1, 5, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)));
+        cluster.reported(report("host-2", 1, 5, TERM, task("wk-1", 0, 8, State.RUNNING, Why.NONE)));
         Machine first = cluster.machine("host-1");
         Machine second = cluster.machine("host-2");
         assertEquals(1, List.of(first, second).stream().filter(m -> m.attempts().iterator().next().stopping()).count());
-        cluster.reported(report("host-1", 1, 6, TERM), true);
+        cluster.reported(report("host-1", 1, 6, TERM));
         assertFalse(placeable());
-        cluster.reported(report("host-2", 1, 6, TERM), true);
+        cluster.reported(report("host-2", 1, 6, TERM));
         assertTrue(placeable());
     }
 }
--- a/src/test/java/org/saffronshore/leadership/LeadershipTest.java
+++ b/src/test/java/org/saffronshore/leadership/LeadershipTest.java
@@ -33,8 +33,8 @@
     private final HandLoop loop = new HandLoop();
     private final StateStandIn service = new StateStandIn(loop);
     private final Random random = new Random(5);
-    /** Whether leaders may act on their peers' time for a while after they were served. */
-    private boolean bounded;
+    /** For so long after they were served leaders know enough of cancellations to act. */
+    private static final double KNOWING_S = LIFE_S * 5;
     private final List<Candidate> all = new ArrayList<>();
     private ObjectNode settingsJson = Samples.settingsJson();
 
@@ -114,8 +114,8 @@
 
         /** What the peer link does: a leader asks for time again and again. */
         private void hello() {
-            if (bounded && served()) {
-                leadership.boundGrants(loop.now() + LIFE_S * 5);
+            if (served()) {
+                leadership.keepAliveUntil(loop.now() + KNOWING_S);
             }
             reached().forEach(peer -> reachedAt.put(peer, loop.now()));
             if (leadership.acting()) {
@@ -181,6 +181,7 @@
         @Override
         public void elected(long term, long keyVersion) {
             terms.add(term);
+            leadership.keepAliveUntil(loop.now() + KNOWING_S);
             assertEquals(keyVersion, service.version(Keys.LEADER));
         }
 
@@ -259,7 +260,7 @@
     void outlivesAnOutageOnItsPeersTime() {
         three();
         Candidate leader = leader();
-        leader.leadership.boundGrants(loop.now() + LIFE_S * 10);
+        leader.leadership.keepAliveUntil(loop.now() + LIFE_S * 10);
         service.away = (method, path) -> true;
         loop.pass(LIFE_S * 4);
         assertTrue(leader.leadership.acting());
@@ -274,7 +275,7 @@
     void stepsBackInAnOutageWithoutAMajorityOrBeyondItsBound() {
         three();
         Candidate leader = leader();
-        leader.leadership.boundGrants(loop.now() + LIFE_S * 3);
+        leader.leadership.keepAliveUntil(loop.now() + LIFE_S * 3);
         service.away = (method, path) -> true;
         loop.pass(LIFE_S * 2);
         assertTrue(leader.leadership.acting());
@@ -300,7 +301,6 @@
     /** No controller reaches another, and the state service refuses the leader alone: the others agree through it. */
     @Test
     void agreesThroughTheStateServiceWhenPeersAreOutOfReach() {
-        bounded = true;
         three();
         for (int round = 0; round < 4; round++) {
             Candidate leader = leader();
@@ -344,7 +344,6 @@
     @CsvSource({"5, 1", "5, 2", "7, 1", "7, 2", "7, 3", "7, 4", "9, 1"})
     void manyCandidatesAgreeSoon(int nodes, int seed) {
         random.setSeed(seed);
-        bounded = true;
         several(nodes, seed * 100);
         for (int round = 0; round < 6; round++) {
             Candidate cutOff = leader();
@@ -368,7 +367,6 @@
     @ValueSource(ints = {1, 2, 3, 4})
     void neverTwoAtOnceWhoeverStandsStill(int seed) {
         random.setSeed(seed);
-        bounded = true;
         three();
         for (int round = 0; round < 40; round++) {
             Candidate leader = all.stream().filter(c -> c.leadership.leading()).findFirst().orElse(all.get(0));
@@ -404,7 +402,6 @@
     @ValueSource(ints = {1, 2, 3, 4, 5, 6})
     void neverTwoAtOnceWhateverIsRestarted(int seed) {
         random.setSeed(seed);
-        bounded = true;
         three();
         for (int round = 0; round < 60; round++) {
             Candidate one = all.isEmpty() ? null : all.get(random.nextInt(all.size()));
