--- a/src/test/java/org/saffronshore/control/MeetingsTest.java
+++ b/src/test/java/org/saffronshore/control/MeetingsTest.java
@@ -53,6 +53,7 @@
     /** The rules are looked after once in this time. */
     private static final double STEP_S = 0.25;
     private int lastJob;
+    private double outageSince = Double.NaN;
 
     private ObjectNode settings() {
         ObjectNode json = Samples.settingsJson();
@@ -178,6 +179,12 @@
         return Samples.job("wk-" + ++lastJob, "red", Priority.STANDARD, tasks, TASK_CPUS);
     }
 
+    private static JobSpec inOneZone(JobSpec j) {
+        return new JobSpec(j.id(), j.jobClass(), j.team(), j.priority(), j.tasks(), j.cpus(), j.gpus(), j.memoryGb(), j.image(),
+                j.imageGb(), j.types(), j.zone(), true, false, j.spot(), j.estimateS(), j.checkpointS(), j.saveS(),
+                j.deadlineS());
+    }
+
     private Process leader() {
         return processes.values().stream().filter(p -> !p.dead && p.node.leadership().leading()).findFirst().orElse(null);
     }
@@ -260,6 +267,100 @@
         assertTrue(leader().node.leadership().acting());
     }
 
+    // Every other meeting
+
+    /**
+     * What happens when, in seconds from a moment at which three jobs run. Whatever it is, the rules hold, and once it
+     * is over every job ends.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', value = {
+        "ends far apart            | 0 short, 6 kill leader, 9 back, 15 kill leader, 21 back, 30 kill leader, 31 back",
+        "held up commands          | 0 late, 0 submit, 1 hang 12, 3 cancel 2, 8 submit, 10 hang 9, 30 heal",
+        "meets the last task's end | 0 short, 2 cancel 1, 2.1 poll, 4 cancel 2, 5 submit, 6 cancel 3, 6 repeat, 9 repeat",
+        "old reports               | 0 copies, 0 short, 5 kill leader, 6 back, 20 hang 25, 30 submit, 40 kill leader, 45 back",
+        "all away                  | 0 cancel 1, 0.1 kill n-0, 0.1 kill n-1, 0.1 kill n-2, 25 back, 30 submit",
+        "zones lose machines       | 0 die a, 0.1 kill leader, 3 submit, 5 back, 10 die b, 12 kill leader, 14 back",
+        "nobody hears the next one | 0 deaf, 0 kill leader, 2 cancel 2, 9 submit, 15 back, 40 heal",
+        "cannot be asked           | 0 hang 30, 0.5 kill leader, 3 submit, 6 back, 8 cancel 1",
+        "a report is held back     | 0 copies, 2 cut leader, 2 submit, 14 heal, 20 kill leader, 24 back",
+        "refused, then all         | 0 refuse leader, 0.2 cancel 1, 1 outage, 61 heal",
+        "refused as it is told     | 0 cancel 1, 0 refuse leader, 0.1 cancel 2, 1 outage, 56 heal",
+        "slow, refused, then all   | 0 late, 2 refuse leader, 3 cancel 1, 6 outage, 9 poll, 50 heal",
+        "a team at its limit       | 0 hang 15, 0 submit, 0.1 kill leader, 2 cancel 1, 2.5 submit, 4 back, 9 cancel 2, 12 submit",
+        "reach nobody              | 0 mute, 3 submit, 8 kill leader, 14 back, 14 cancel 1, 50 heal",
+        "ten leaders               | 0 kill leader, 6 back, 12 kill leader, 18 back, 24 refuse leader, 36 heal, 40 outage, "
+            + "44 kill leader, 50 back, 52 cancel 1, 55 heal, 62 kill leader, 66 back, 74 cut leader, 86 heal, 92 kill leader",
+        "only its workers, users   | 0 cut leader, 0.5 poll, 9 cancel 1, 12 poll, 30 submit, 60 heal",
+        "a zone apart              | 0 apart a, 5 submit, 10 cancel 1, 30 poll, 45 heal",
+        "late writes               | 0 writes, 0 short, 3 submit, 5 kill leader, 7 cancel 1, 9 back, 12 submit, 30 kill leader, 36 back",
+        "over and back             | 0 kill leader, 0.3 back, 0.5 kill leader, 0.8 back, 1.1 kill n-0, 1.1 kill n-1, "
+            + "1.1 kill n-2, 1.4 back, 2 cancel 1"})
+    void twoTroublesMeet(String name, String script) {
+        runS = 50;
+        submit(leader(), job(2));
+        submit(leader(), job(3));
+        submit(leader(), inOneZone(job(2)));
+        pass(15);
+        assertTrue(jobs.values().stream().mapToLong(this::onMachines).sum() >= 4);
+        double began = loop.now();
+        for (String step : script.split(", *")) {
+            String[] words = step.trim().split(" ", 2);
+            pass(Math.max(0, began + Double.parseDouble(words[0]) - loop.now()));
+            happens(words[1]);
+        }
+        pass(2);
+        happens("heal");
+        everyJobEnds();
+    }
+
+    private void happens(String what) {
+        String[] words = what.split(" ");
+        Process one = words.length < 2 ? null : words[1].equals("leader") ? leader() : processes.get(words[1]);
+        int number = words.length > 1 && Character.isDigit(words[1].charAt(0)) ? Integer.parseInt(words[1]) : 0;
+        switch (words[0]) {
+            case "short" -> runS = 5;
+            case "late" -> lateCommands = 0.5;
+            case "writes" -> lateWrites = 0.5;
+            case "copies" -> lateReports = 0.8;
+            case "kill" -> {
+                if (one != null) {
+                    one.dead = true;
+                }
+            }
+            case "back" -> processes.values().stream().filter(p -> p.dead).map(p -> p.name).toList().forEach(this::life);
+            case "refuse" -> one.refused = true;
+            case "cut" -> {
+                one.refused = true;
+                one.withoutPeers = true;
+            }
+            case "outage" -> {
+                away(true, 0);
+                outageSince = loop.now();
+            }
+            case "hang" -> workers.values().stream().limit(2).forEach(w -> w.hangsUntil = loop.now() + number);
+            case "deaf" -> workers.values().forEach(w -> w.deaf = true);
+            case "mute" -> workers.values().forEach(w -> w.mute = true);
+            case "die" -> workers.values().stream().filter(w -> w.report.get("Depot").asText().equals(words[1])).findFirst()
+                    .ifPresent(this::dies);
+            case "apart" -> {
+                zoneApart = words[1];
+                inZoneApart = leader();
+                inZoneApart.refused = true;
+                inZoneApart.withoutPeers = true;
+            }
+            case "submit" -> submit(anyNode(), job(2));
+            case "repeat" -> List.copyOf(jobs.values()).forEach(t -> submit(anyNode(), t.job));
+            case "poll" -> jobs.values().forEach(t -> poll(anyNode(), t));
+            case "cancel" -> cancel(follower(), jobs.get("wk-" + number));
+            default -> heal();
+        }
+    }
+
+    private Process anyNode() {
+        return List.copyOf(processes.values()).get(chance.nextInt(processes.size()));
+    }
+
     // Any troubles
 
     /** A few, always the same; more are played with {@code -Dmeetings.seeds=100}. */
@@ -274,7 +375,6 @@
         chance.setSeed(seed);
         runS = 12;
         runsVary = true;
-        double outageSince = Double.NaN;
         for (int round = 0; round < 30; round++) {
             Process one = processes.get("n-" + chance.nextInt(3));
             Process leader = leader();
@@ -322,16 +422,21 @@
             }
             // Troubles come in heaps: a few more each time, until all are over for a while.
             if (chance.nextInt(5) == 0) {
-                heal(Double.isNaN(outageSince) ? 0 : loop.now() - outageSince);
-                outageSince = Double.NaN;
+                heal();
                 for (int i = 0; i < 5; i++) {
                     use();
                     pass(chance.nextDouble() * 6);
                 }
             }
         }
-        heal(Double.isNaN(outageSince) ? 0 : loop.now() - outageSince);
-        // The longest wait: a bad moment, a lease, and what the team's limit lets through at a time.
+        heal();
+        everyJobEnds();
+        assertTrue(jobs.values().stream().filter(t -> "done".equals(t.end)).count() > 5,
+                () -> "hardly any job was done, of " + jobs.size());
+    }
+
+    /** The longest wait: a bad moment, a lease, and what the team's limit lets through at a time. */
+    private void everyJobEnds() {
         for (int i = 0; i < 60 && jobs.values().stream().anyMatch(t -> t.accepted && t.end == null); i++) {
             jobs.values().stream().filter(t -> t.accepted && t.end == null).forEach(t -> poll(processes.get("n-0"), t));
             pass(5);
@@ -339,8 +444,6 @@
         List<String> open = new ArrayList<>();
         jobs.values().stream().filter(t -> t.accepted && t.end == null).forEach(t -> open.add(t.job.id()));
         assertTrue(open.isEmpty(), () -> "not over: " + open);
-        assertTrue(jobs.values().stream().filter(t -> "done".equals(t.end)).count() > 5,
-                () -> "hardly any job was done, of " + jobs.size());
     }
 
     /** What users do in between, each at any controller. */
@@ -352,10 +455,8 @@
         switch (chance.nextInt(6)) {
             case 0, 1 -> {
                 if (open < 8) {
-                    JobSpec j = job(1 + chance.nextInt(3));
-                    boolean oneZone = chance.nextInt(3) == 0;
-                    submit(node, new JobSpec(j.id(), j.jobClass(), j.team(), j.priority(), j.tasks(), j.cpus(), 0, 1, "image", 1,
-                            null, null, oneZone, false, true, 30, 0, 0, Double.POSITIVE_INFINITY));
+                    JobSpec job = job(1 + chance.nextInt(3));
+                    submit(node, chance.nextInt(3) == 0 ? inOneZone(job) : job);
                 }
             }
             case 2 -> {
@@ -372,11 +473,13 @@
         }
     }
 
-    private void heal(double outageS) {
+    private void heal() {
         lateWrites = 0;
         lateCommands = 0;
         lateReports = 0;
-        away(false, outageS);
+        away(false, Double.isNaN(outageSince) ? 0 : loop.now() - outageSince);
+        outageSince = Double.NaN;
+        zoneApart = null;
         for (String name : List.of("n-0", "n-1", "n-2")) {
             Process p = processes.get(name);
             if (p.dead) {
--- a/src/test/java/org/saffronshore/control/World.java
+++ b/src/test/java/org/saffronshore/control/World.java
@@ -52,9 +52,16 @@
     double lateCommands;
     double lateWrites;
     double lateReports;
+    /** A zone whose machines reach only this controller, which reaches nothing outside of it; null for none. */
+    String zoneApart;
+    Process inZoneApart;
     private int machines;
     private int lives;
 
+    private boolean apart(Process node, Worker worker) {
+        return zoneApart != null && (node == inZoneApart) != zoneApart.equals(worker.report.get("Depot").asText());
+    }
+
     /** A task has come onto a machine. */
     void started(Worker worker, String task) {
     }
@@ -155,7 +162,7 @@
                 then.receive(answer);
             });
             boolean late = chance.nextDouble() < lateCommands;
-            if (!worker.deaf && !withoutWorkers) {
+            if (!worker.deaf && !withoutWorkers && !apart(this, worker)) {
                 loop.after(late ? 2 + 10 * chance.nextDouble() : 0.001, () -> worker.whenAwake(() -> {
                     if (!worker.gone) {
                         once.receive(worker.command(Json.parse(body)));
@@ -287,9 +294,9 @@
             nextReportAt = Math.max(nextReportAt, sentAt + reportEveryS);
             boolean[] answered = new boolean[1];
             Process to = processes.get(reportsTo);
-            if (to != null && !to.dead && !mute && !to.withoutWorkers) {
+            if (to != null && !to.dead && !mute && !to.withoutWorkers && !apart(to, this)) {
                 to.node.handle(new Request("POST", "/v1/report", body), (code, type, bytes, r) -> whenAwake(() -> {
-                    if (!answered[0] && !deaf && !to.withoutWorkers && loop.now() < sentAt + WORKER_PATIENCE_S) {
+                    if (!answered[0] && !deaf && !to.withoutWorkers && !apart(to, this) && loop.now() < sentAt + WORKER_PATIENCE_S) {
                         answered[0] = true;
                         heard(code, Json.parse(bytes), sentAt, sentIn);
                     }
@@ -392,6 +399,12 @@
         return worker;
     }
 
+    /** The machine and everything on it is gone. */
+    void dies(Worker worker) {
+        worker.gone = true;
+        workers.values().remove(worker);
+    }
+
     private Answer cloud(String path, byte[] body) {
         ObjectNode answer = Json.object();
         if (path.equals("/machine_types")) {
@@ -409,10 +422,8 @@
                 names.add(machine(order.get("Depot").asText()).id);
             }
         } else if (path.equals("/hosts/return")) {
-            Json.parse(body).get("Cadres").forEach(name -> workers.values().removeIf(w -> {
-                w.gone |= w.id.equals(name.asText());
-                return w.gone;
-            }));
+            Json.parse(body).get("Cadres").forEach(name -> workers.values().stream()
+                    .filter(w -> w.id.equals(name.asText())).findFirst().ifPresent(this::dies));
         } else if (path.startsWith("/hosts?")) {
             ArrayNode all = answer.putArray("Cadres");
             workers.values().forEach(w -> all.add(((ObjectNode) w.report.deepCopy())
