--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import org.saffronshore.admin.Metrics;
 import org.saffronshore.cloud.CloudClient;
-import org.saffronshore.cluster.Attempt;
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.cluster.Job;
 import org.saffronshore.cluster.Machine;
@@ -33,8 +32,6 @@
 /** Keeps the rented machines in line with what the tasks need, for one term. */
 final class FleetKeeper {
     private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
-    /** A machine costs this much even when it is returned sooner. */
-    private static final double LEAST_CHARGED_S = 60;
     /** Boots later than this, as a multiple of the usual time, are not counted on, and later than that given up. */
     private static final double LATE_BOOT = 1.6;
     private static final double LOST_BOOT = 3;
@@ -44,8 +41,6 @@
     /** Room for this many typical jobs of each class is kept although it is idle. */
     private static final double SPARE_JOBS = 1;
 
-    /** This share of the machines may be emptied at the same time. */
-    private static final double EMPTIED_SHARE = 0.02;
 
     /** Tasks whose wait users mind should wait for this share of the time that a boot takes at the most. */
     private static final double MINDED_WAIT = 0.5;
@@ -56,8 +51,6 @@
     /** Working out what to rent may take this share of the time. */
     private static final double RENT_SHARE = 0.1;
 
-    /** A start counts for little when the task is stopped again sooner than this. */
-    private static final double LEAST_RUN_S = 30;
 
     private record Order(String name, Kind kind, int count, double askedAt) {}
 
@@ -73,13 +66,13 @@
     private final Leader leader;
     private final Cluster cluster;
     private final long term;
+    private final MachineList list;
+    private final Consolidation consolidation;
     private final Map<String, Order> orders = new LinkedHashMap<>();
     private final Map<Kind, Refusal> refusals = new HashMap<>();
     private final Set<String> returning = new HashSet<>();
     private List<Plan.Unmet> unmet = List.of();
     private double rentAgainAt = Double.NEGATIVE_INFINITY;
-    private boolean listBusy;
-    private boolean listed;
     private long lastName;
 
     FleetKeeper(Node node, Leader leader, Cluster cluster, long term) {
@@ -90,11 +83,13 @@
         this.leader = leader;
         this.cluster = cluster;
         this.term = term;
+        this.list = new MachineList(node, leader, cluster);
+        this.consolidation = new Consolidation(node, cluster);
     }
 
     void start() {
-        list();
-        leader.repeat(Math.max(settings.reportS(), 2 / settings.cloudRps()), this::list);
+        list.read();
+        leader.repeat(Math.max(settings.reportS(), 2 / settings.cloudRps()), list::read);
         leader.repeat(settings.reportS() / 3, this::keep);
     }
 
@@ -111,107 +106,15 @@
         giveBack();
         rent();
         if (unmet.isEmpty()) {
-            consolidate();
+            consolidation.run();
         }
     }
 
-    /**
-     * Empties the least used machines whose tasks all save their work, when the others have room for them: what a
-     * machine half empty costs is more than what it takes to save and go on elsewhere. A few machines at a time.
-     */
-    private void consolidate() {
-        double now = loop.now();
-        List<Machine> leastFirst = new ArrayList<>();
-        Map<Machine, Room> rooms = new LinkedHashMap<>();
-        int draining = 0;
-        for (Machine m : cluster.machines()) {
-            if (m.draining()) {
-                draining++;
-                continue;
-            }
-            Room room = m.empty() ? null : cluster.freeOn(m);
-            if (room != null) {
-                rooms.put(m, room);
-                if (cluster.movable(m, LEAST_RUN_S) && now > m.rentedAt() + LEAST_CHARGED_S) {
-                    leastFirst.add(m);
-                }
-            }
-        }
-        int most = Math.max(1, (int) (rooms.size() * EMPTIED_SHARE)) - draining;
-        leastFirst.sort(Comparator.comparing(Machine::spot).thenComparingDouble(Machine::usedCpus));
-        for (int i = 0; i < leastFirst.size() && i < 4 * most && most > 0; i++) {
-            Machine m = leastFirst.get(i);
-            if (fitElsewhere(m, rooms)) {
-                LOG.debug("emptying machine {}: {} tasks of it fit elsewhere", m.id(), m.count());
-                rooms.remove(m);
-                cluster.empty(m);
-                most--;
-            }
-        }
-    }
-
-    /** Whether the machine's tasks fit on others; if so, their room is taken. */
-    private static boolean fitElsewhere(Machine m, Map<Machine, Room> rooms) {
-        List<Runnable> undo = new ArrayList<>();
-        for (Attempt a : m.attempts()) {
-            Room found = null;
-            for (var e : rooms.entrySet()) {
-                Machine other = e.getKey();
-                boolean worse = m.spot() && !other.spot();
-                if (other != m && !worse && e.getValue().fits(a.job()) && other.kind().allows(a.job())) {
-                    found = e.getValue();
-                    break;
-                }
-            }
-            if (found == null) {
-                undo.forEach(Runnable::run);
-                return false;
-            }
-            Room room = found;
-            room.take(a.job());
-            undo.add(() -> room.give(a.job()));
-        }
-        return true;
-    }
-
-    // The cloud's list
-
-    private void list() {
-        if (!listBusy) {
-            listBusy = true;
-            page("", new HashSet<>(), loop.now());
-        }
-    }
-
-    private void page(String after, Set<String> ids, double requestedAt) {
-        cloud.list(after, answer -> {
-            JsonNode body = answer.ok() ? answer.json() : null;
-            if (!leader.entitled() || body == null || !body.path("Cadres").isArray()) {
-                listBusy = false;
-                return;
-            }
-            String last = after;
-            for (JsonNode c : body.get("Cadres")) {
-                last = Json.text(c, "Uid");
-                ids.add(last);
-                cluster.listed(last, Json.text(c, "Address"), Json.text(c, "Rig"), Json.text(c, "Depot"),
-                        Json.flag(c, "Loaner"), "failed".equals(Json.text(c, "Status")), Json.number(c, "HeldS", 0));
-            }
-            if (Json.flag(body, "Truncated") && !last.equals(after)) {
-                page(last, ids, requestedAt);
-                return;
-            }
-            listBusy = false;
-            listed = true;
-            cluster.listedOnly(ids, requestedAt);
-        });
-    }
-
     // Renting
 
     /** An earlier leader's latest machines are in no list yet: renting for the same need again would be waste. */
     private boolean mayRent() {
-        return leader.acting() && leader.loaded() && listed
+        return leader.acting() && leader.loaded() && list.complete()
                 && (term == 1 || loop.now() > cluster.startedAt() + settings.listLagS());
     }
 
@@ -420,7 +323,7 @@
         if (m.noticed()) {
             return "it is to be taken back, and is empty";
         }
-        boolean idle = now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + LEAST_CHARGED_S;
+        boolean idle = now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + Consolidation.LEAST_CHARGED_S;
         return idle && !spare.needs(m) ? "it is idle" : null;
     }
 
