--- a/src/main/java/org/saffronshore/cluster/Attempt.java
+++ b/src/main/java/org/saffronshore/cluster/Attempt.java
@@ -13,7 +13,7 @@
     final long number;
     final Machine machine;
     /** Null when the job was over before this controller learned what the task takes of its machine. */
-    final JobSpec job;
+    JobSpec job;
     State state = State.SENDING;
     boolean done;
     boolean stopping;
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -69,6 +69,7 @@
     private final Calls calls;
     private final Views views;
     private final Reports reports;
+    private final Dependencies dependencies = new Dependencies();
     private final Set<Job> unsaved = new LinkedHashSet<>();
     private final Set<Job> complete = new LinkedHashSet<>();
     private final Set<Job> reaching = new LinkedHashSet<>();
@@ -219,7 +220,14 @@
         }
         Job job = new Job(spec, version, submittedMs, done, reach);
         jobs.put(spec.id(), job);
-        arrivals.saw(spec, version > termVersion, loop.now());
+        dependencies.add(spec.id(), spec.priority(), spec.dependencies());
+        if (spec.dependencies().isEmpty()) {
+            arrivals.saw(spec, version > termVersion, loop.now());
+        } else {
+            job.ready = false;
+            look(job);
+        }
+        prioritize();
         for (Machine m : machines.values()) {
             for (Attempt a : m.allAttempts()) {
                 if (a.task.job().equals(spec.id()) && a.job == null) {
@@ -233,12 +241,47 @@
         changed = true;
     }
 
+    // Jobs that need others
+
+    /** Which open jobs need which others. */
+    public Dependencies dependencies() {
+        return dependencies;
+    }
+
+    /** How a job ended that others may need: some of them may be ready by that. */
+    public void ended(String id, boolean done, long atMs) {
+        dependencies.ended(id, done, atMs);
+        dependencies.neededBy(id).forEach(needer -> look(jobs.get(needer)));
+    }
+
+    private void look(Job job) {
+        if (!job.ready && dependencies.ready(job.spec.id())) {
+            LOG.debug("job {} is ready: all that it needs is done", job.spec.id());
+            job.ready = true;
+            job.readyMs = dependencies.readyAtMs(job.spec.id());
+            arrivals.saw(job.spec, job.version > termVersion, loop.now());
+            changed = true;
+        }
+    }
+
+    private void prioritize() {
+        dependencies.newPriorities().forEach((id, priority) -> {
+            Job job = jobs.get(id);
+            if (job != null && job.spec.priority() != priority) {
+                job.reprioritize(priority);
+                changed = true;
+            }
+        });
+    }
+
     /** The job is over: nothing of it may run any longer. */
     public void removeJob(String id) {
         Job job = jobs.remove(id);
         if (job == null) {
             return;
         }
+        dependencies.remove(id);
+        prioritize();
         unsaved.remove(job);
         complete.remove(job);
         reaching.remove(job);
--- a/src/main/java/org/saffronshore/cluster/Job.java
+++ b/src/main/java/org/saffronshore/cluster/Job.java
@@ -8,10 +8,16 @@
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Priority;
 
 /** A job that is not over, as the leader knows it. */
 public final class Job {
-    final JobSpec spec;
+    /** With the priority that counts: the highest of its own and of the jobs that need it. */
+    JobSpec spec;
+    /** Whether all jobs that it needs are done; until then none of its tasks may start. */
+    boolean ready = true;
+    /** When the last of them was done, at a time of day. */
+    long readyMs;
     /** Version of the job's key: it is set once, so this is also when the job was accepted. */
     final long version;
     final long submittedMs;
@@ -113,9 +119,22 @@
         return all;
     }
 
-    /** For how long its user has waited, at a time of day. */
+    /** For how long its tasks could have run, at a time of day: not while it waited for other jobs. */
     public double waitedS(long wallMs) {
-        return (wallMs - submittedMs) / 1000.0;
+        return ready ? (wallMs - Math.max(submittedMs, readyMs)) / 1000.0 : 0;
+    }
+
+    /** From now on another priority counts, for its tasks that are on machines too. */
+    void reprioritize(Priority priority) {
+        spec = spec.at(priority);
+        for (Attempt a : placed.values()) {
+            a.job = spec;
+            a.machine.changed();
+        }
+        for (Attempt a : others) {
+            a.job = spec;
+            a.machine.changed();
+        }
     }
 
     public JobSpec spec() {
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -61,12 +61,12 @@
         }
         int waiting = 0;
         for (Job job : cluster.jobs()) {
-            waiting += job.waiting.cardinality();
+            waiting += job.ready ? job.waiting.cardinality() : 0;
         }
         return cluster.machines().size() + " machines (" + up + " up, " + coming + " coming or lost, " + cluster.unsettledCount()
                 + " unaccounted), CPUs " + Math.round(total) + " up, " + Math.round(used) + " taken, "
                 + Math.round(running) + " running; " + cluster.jobs().size() + " open jobs, " + waiting + " tasks waiting, "
-                + fetching + " fetching";
+                + fetching + " fetching; " + cluster.dependencies().waiting() + " jobs wait for others";
     }
 
     /** What is free on a machine now, or null when nothing may be put there. */
@@ -178,7 +178,7 @@
         boolean anything = cluster.anythingUnseen();
         for (Job job : cluster.jobs()) {
             boolean older = cluster.mayBeUnseen(job);
-            if (job.waiting.isEmpty() || now < job.backOffUntil) {
+            if (!job.ready || job.waiting.isEmpty() || now < job.backOffUntil) {
                 continue;
             }
             BitSet waiting = older ? seen(job, anything) : job.waiting;
--- a/src/main/java/org/saffronshore/config/Settings.java
+++ b/src/main/java/org/saffronshore/config/Settings.java
@@ -7,18 +7,26 @@
 import java.util.Map;
 import org.saffronshore.wire.Fields;
 import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.Json;
 
-/** The platform's settings file, checked. Fields that are not known here are ignored. */
+/**
+ * The platform's settings file, checked. Fields that are not known here are ignored.
+ *
+ * @param laterStateRps what the state service will take from some moment on, without notice; as now if nothing is said
+ * @param valueKb how long a value may be, now and later
+ * @param txnOps how many changes a transaction may have, now and later
+ */
 public record Settings(String node, String zone, Address listen, Address peerListen, List<Peer> peers,
         Address cloud, Address state, List<String> zones, Map<String, Team> teams, List<Objective> objectives,
         double reportS, double leaseS, double cancelS, double stateRps, double stateWriteRps,
-        double valueKb, int txnOps, double cloudRps, double listLagS, double cpuShare,
+        double laterStateRps, double laterStateWriteRps, double valueKb, int txnOps, double cloudRps, double listLagS, double cpuShare,
         double memoryMb, int sockets, double clockOffS) {
 
     /** The steady clocks of two machines may run apart by this share of the time that passes. */
     public static final double DRIFT = 0.0005;
 
     private static final double MOST = 1e9;
+    private static final int MOST_TXN_OPS = 1_000_000;
 
     public record Address(String host, int port) {
         public static Address parse(String field, String text) throws InvalidField {
@@ -71,6 +79,11 @@
         Fields cluster = f.object("cluster");
         Fields workers = cluster.object("workers");
         Fields state = cluster.object("state");
+        Fields next = state.has("next") ? state.object("next") : new Fields(Json.object(), "cluster.state.next");
+        double rps = state.number("rps", 1, MOST);
+        double writeRps = state.number("write_rps", 1, MOST);
+        double valueKb = state.number("value_kb", 1, MOST);
+        int txnOps = (int) state.count("txn_ops", 2, MOST_TXN_OPS);
         Fields cloud = cluster.object("cloud");
         Fields limits = cluster.object("limits");
         List<Peer> peers = new ArrayList<>();
@@ -99,9 +112,9 @@
                 Address.parse("services.state", services.text("state")),
                 zones == null ? List.of() : zones, teams, List.copyOf(objectives),
                 workers.number("report_s", 0.01, MOST), workers.number("lease_s", 0.1, MOST),
-                workers.number("cancel_s", 0.1, MOST), state.number("rps", 1, MOST),
-                state.number("write_rps", 1, MOST), state.number("value_kb", 1, MOST),
-                (int) state.count("txn_ops", 2, 1_000_000), cloud.number("rps", 0.01, MOST),
+                workers.number("cancel_s", 0.1, MOST), rps, writeRps, next.number("rps", 1, MOST, rps),
+                next.number("write_rps", 1, MOST, writeRps), Math.min(valueKb, next.number("value_kb", 1, MOST, valueKb)),
+                next.has("txn_ops") ? Math.min(txnOps, (int) next.count("txn_ops", 2, MOST_TXN_OPS)) : txnOps, cloud.number("rps", 0.01, MOST),
                 cloud.number("list_lag_s", 0, MOST), limits.number("core_share", 0.001, MOST, 1),
                 limits.number("memory_mb", 1, MOST, 256), (int) limits.number("sockets", 16, MOST, 1024),
                 cluster.number("clock_off_ms", 0, MOST, MOST) / 1000);
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -47,6 +47,7 @@
     private final Cluster cluster;
     private final JobFeed feed;
     private final Records records;
+    private final Chains chains;
     private final long term;
     private final byte[] nothingToDo;
     private boolean ended;
@@ -79,6 +80,7 @@
         this.cluster = new Cluster(loop, settings, term, keyVersion);
         this.feed = new JobFeed(node, this, cluster);
         this.records = new Records(node, this, cluster);
+        this.chains = new Chains(node, this, cluster, records);
         this.fleet = new FleetKeeper(node, this, cluster, term);
     }
 
@@ -215,7 +217,11 @@
 
     /** The state service has the job as cancelled, as this node or a peer has read or written itself. */
     void cancelled(String job) {
-        if (loaded && cluster.job(job) != null) {
+        if (!loaded) {
+            return;
+        }
+        cluster.ended(job, false, loop.wallMs());
+        if (cluster.job(job) != null) {
             remove(job);
             act();
         }
@@ -313,6 +319,7 @@
             cluster.roster().freezeSilent();
         }
         cluster.retryCalls();
+        chains.look();
         act();
     }
 
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -79,6 +79,7 @@
         metrics.gauge("term", leadership::term);
         metrics.gauge("machines", () -> leader == null ? 0 : leader.cluster().machines().size());
         metrics.gauge("open_jobs", () -> leader == null ? 0 : leader.cluster().jobs().size());
+        metrics.gauge("jobs_waiting_for_others", () -> leader == null ? 0 : leader.cluster().dependencies().waiting());
     }
 
     Loop loop() {
@@ -313,7 +314,8 @@
                 .put("leader", leadership.leaderNode()).put("term", leadership.term()).put("state_serves", served());
         if (leader != null) {
             o.put("open_jobs", leader.cluster().jobs().size()).put("machines", leader.cluster().machines().size())
-                    .put("machines_unaccounted", leader.cluster().unsettledCount());
+                    .put("machines_unaccounted", leader.cluster().unsettledCount())
+                    .put("jobs_waiting_for_others", leader.cluster().dependencies().waiting());
         }
         return o;
     }
--- a/src/main/java/org/saffronshore/control/Records.java
+++ b/src/main/java/org/saffronshore/control/Records.java
@@ -185,8 +185,9 @@
 
     private void saveFinished(Job job) {
         String id = job.spec().id();
+        long endedMs = loop.wallMs();
         Txn txn = guarded().guard(Keys.job(id), job.version()).guard(Keys.end(id), 0)
-                .set(Keys.end(id), JobStore.endRecord(JobStore.Status.DONE)).remove(Keys.job(id));
+                .set(Keys.end(id), JobStore.endRecord(JobStore.Status.DONE, endedMs)).remove(Keys.job(id));
         job.saving(true);
         state.commit(txn, true, answer -> {
             job.saving(false);
@@ -196,6 +197,7 @@
             if (answer.ok()) {
                 LOG.debug("job {} is done", id);
                 store.remember(id, JobStore.Status.DONE);
+                cluster.ended(id, true, endedMs);
                 leader.remove(id);
                 leader.act();
                 return;
@@ -208,6 +210,24 @@
         });
     }
 
+    /** Writes that a job is cancelled with one that it needs: users are told so already. */
+    void saveCancelled(Job job, Runnable then) {
+        String id = job.spec().id();
+        Txn txn = guarded().guard(Keys.job(id), job.version()).guard(Keys.end(id), 0)
+                .set(Keys.end(id), JobStore.endRecord(JobStore.Status.CANCELLED, loop.wallMs())).remove(Keys.job(id));
+        state.commit(txn, false, answer -> {
+            if (leader.ended()) {
+                return;
+            }
+            if (answer.ok()) {
+                store.remember(id, JobStore.Status.CANCELLED);
+            } else if (answer.status() == 409) {
+                stillLeading(answer.json());
+            }
+            then.run();
+        });
+    }
+
     /** Keeps which tasks are finished, so that a change of leader does not run them again. */
     void saveProgress() {
         if (progressBusy) {
--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -57,6 +57,9 @@
             if (Json.bytes(job.toJson()).length > settings.valueKb() * 1024 - RECORD_BYTES) {
                 throw new InvalidField("body", "is longer than what can be kept of a job");
             }
+            if (job.dependencies().size() > store.mostDependencies()) {
+                throw new InvalidField(JobSpec.DEPENDENCIES, "may name " + store.mostDependencies() + " jobs at most");
+            }
             if (types.get().isEmpty()) {
                 verdict = 503;
                 problem = "the machine types are not known yet";
@@ -72,12 +75,18 @@
             return;
         }
         String id = job.id();
+        boolean needsOthers = !job.dependencies().isEmpty();
         store.accept(job, loop.wallMs(), accepted -> {
             switch (accepted) {
                 case NEW -> {
                     metrics.add(Metrics.Count.SUBMITTED, 1);
                     metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
-                    reply.json(201, Json.object().put("Uid", id).put("Status", "pending"));
+                    if (needsOthers) {
+                        // One of them may be cancelled already: then so is this one, and must not be called anything else.
+                        store.look(id, status -> tell(id, status, 201, reply));
+                    } else {
+                        tell(id, Status.OPEN, 201, reply);
+                    }
                 }
                 case KNOWN -> store.look(id, status -> {
                     if (status == Status.ABSENT) {
@@ -87,6 +96,7 @@
                     }
                 });
                 case OVERLOADED -> busy(reply);
+                case MISSING -> refuse(id, 422, JobSpec.DEPENDENCIES + ": names a job that was never accepted", reply);
                 default -> unsure(reply);
             }
         });
@@ -147,15 +157,19 @@
     }
 
     private void tell(String id, Status status, Reply reply) {
+        tell(id, status, 200, reply);
+    }
+
+    private void tell(String id, Status status, int accepted, Reply reply) {
         ObjectNode o = Json.object().put("Uid", id);
         switch (status) {
             case OPEN -> {
                 Progress p = progress.apply(id);
-                reply.json(200, o.put("Status", p.running() > 0 ? "running" : "pending").put("done", p.done())
+                reply.json(accepted, o.put("Status", p.running() > 0 ? "running" : "pending").put("done", p.done())
                         .put("running", p.running()));
             }
-            case DONE -> reply.json(200, o.put("Status", "done"));
-            case CANCELLED -> reply.json(200, o.put("Status", "aborted"));
+            case DONE -> reply.json(accepted, o.put("Status", "done"));
+            case CANCELLED -> reply.json(accepted, o.put("Status", "aborted"));
             case ABSENT -> reply.error(404, "no such job");
             default -> unsure(reply);
         }
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -24,6 +24,8 @@
     public static final double TIMEOUT_S = 1.5;
     private static final int PAGE = 500;
     private static final int SILENT_AFTER = 3;
+    /** After a refusal for the rate the later limits are kept to for so many leases. */
+    private static final double LOWER_LEASES = 4;
     /** The leader's part of all requests and of all writes; the rest is shared out evenly, to it as well. */
     private static final double LEADER_REQUESTS = 0.15;
     private static final double LEADER_WRITES = 0.3;
@@ -41,6 +43,10 @@
     /** When the service last answered a request of this node with anything but a refusal. */
     private double answeredAt = Double.NEGATIVE_INFINITY;
 
+    private boolean leading;
+    /** Until then the later limits are taken to hold. */
+    private double lowerUntil = Double.NEGATIVE_INFINITY;
+
     /** Requests in a row that got no answer at all, and when the last of them was made. */
     private int lost;
     private double triedAt;
@@ -49,18 +55,36 @@
         this.loop = loop;
         this.client = client;
         this.settings = settings;
-        this.requests = new Budget(loop, share(settings.stateRps(), LEADER_REQUESTS, false), 1);
-        this.writes = new Budget(loop, share(settings.stateWriteRps(), LEADER_WRITES, false), 1.5);
+        this.requests = new Budget(loop, share(settings.stateRps(), LEADER_REQUESTS), 1);
+        this.writes = new Budget(loop, share(settings.stateWriteRps(), LEADER_WRITES), 1.5);
     }
 
-    private double share(double all, double leaders, boolean leading) {
+    private double share(double all, double leaders) {
         return all * ((1 - leaders) / settings.controllers() + (leading ? leaders : 0));
     }
 
     /** The leader writes for the whole cluster, so a part of what the service takes is its own. */
     public void leading(boolean now) {
-        requests.share(share(settings.stateRps(), LEADER_REQUESTS, now));
-        writes.share(share(settings.stateWriteRps(), LEADER_WRITES, now));
+        leading = now;
+        shareOut();
+    }
+
+    /** Each node finds by itself that the service takes less than it did; what it takes is shared as before. */
+    private void shareOut() {
+        boolean lower = loop.now() < lowerUntil;
+        requests.share(share(lower ? Math.min(settings.stateRps(), settings.laterStateRps()) : settings.stateRps(),
+                LEADER_REQUESTS));
+        writes.share(share(lower ? Math.min(settings.stateWriteRps(), settings.laterStateWriteRps())
+                : settings.stateWriteRps(), LEADER_WRITES));
+    }
+
+    /** The service itself refused for its rate: its later limits may have come. */
+    private void refusedForItsRate() {
+        if (settings.laterStateRps() < settings.stateRps() || settings.laterStateWriteRps() < settings.stateWriteRps()) {
+            lowerUntil = loop.now() + LOWER_LEASES * settings.leaseS();
+            shareOut();
+            loop.after(LOWER_LEASES * settings.leaseS(), this::shareOut);
+        }
     }
 
     /** How many changes users' requests may make now. */
@@ -86,6 +110,8 @@
             lost = answer.status() > 0 ? 0 : lost + 1;
             if (answer.status() > 0 && answer.status() < 429) {
                 answeredAt = loop.now();
+            } else if (answer.status() == 429) {
+                refusedForItsRate();
             }
             then.receive(answer);
         });
--- a/src/main/java/org/saffronshore/state/Txn.java
+++ b/src/main/java/org/saffronshore/state/Txn.java
@@ -37,7 +37,11 @@
         return changes.size();
     }
 
+    /** One without changes only compares, and is written without a list of them. */
     byte[] bytes() {
+        if (changes.isEmpty()) {
+            body.remove("Then");
+        }
         return Json.bytes(body);
     }
 }
--- a/src/main/java/org/saffronshore/wire/JobSpec.java
+++ b/src/main/java/org/saffronshore/wire/JobSpec.java
@@ -5,13 +5,19 @@
 import java.util.List;
 import java.util.regex.Pattern;
 
-/** What a user asked for: an array of independent tasks and what each may run on. */
+/**
+ * What a user asked for: an array of independent tasks and what each may run on.
+ *
+ * @param dependencies jobs that have to be done before any task of this one starts; each is there once
+ */
 public record JobSpec(String id, String jobClass, String team, Priority priority, int tasks,
         double cpus, double gpus, double memoryGb, String image, double imageGb,
         List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
-        double estimateS, double checkpointS, double saveS, double deadlineS) {
+        double estimateS, double checkpointS, double saveS, double deadlineS, List<String> dependencies) {
 
     public static final int MOST_TASKS = 100_000;
+    /** The field that names the jobs that one needs. */
+    public static final String DEPENDENCIES = "Awaits";
     private static final Pattern ID = Pattern.compile("wk-[0-9]{1,18}");
     private static final double MOST = 1e9;
 
@@ -36,7 +42,40 @@
                 f.text("Kit"), f.number("ImageGb", 0, MOST), types, f.textOrNull("Depot"),
                 f.flag("SamePlace"), f.flag("Spread"), f.flag("Loaner"),
                 f.number("EtaS", 0, MOST), f.number("WaypointS", 0, MOST), f.number("StashS", 0, MOST),
-                f.number("CutoffS", 0, MOST, Double.POSITIVE_INFINITY));
+                f.number("CutoffS", 0, MOST, Double.POSITIVE_INFINITY), dependencies(f));
+    }
+
+    private static List<String> dependencies(Fields f) throws InvalidField {
+        List<String> named = f.textsOrNull(DEPENDENCIES);
+        if (named == null) {
+            return List.of();
+        }
+        for (String id : named) {
+            if (!isId(id)) {
+                throw new InvalidField(DEPENDENCIES, "must be a list of ids of the form wk-000412");
+            }
+        }
+        return named.stream().distinct().toList();
+    }
+
+    /** A job that needs no other. */
+    public JobSpec(String id, String jobClass, String team, Priority priority, int tasks, double cpus, double gpus,
+            double memoryGb, String image, double imageGb, List<String> types, String zone, boolean oneZone,
+            boolean spread, boolean spot, double estimateS, double checkpointS, double saveS, double deadlineS) {
+        this(id, jobClass, team, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone, oneZone, spread,
+                spot, estimateS, checkpointS, saveS, deadlineS, List.of());
+    }
+
+    /** The same job in another class. */
+    public JobSpec at(Priority other) {
+        return new JobSpec(id, jobClass, team, other, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone, oneZone,
+                spread, spot, estimateS, checkpointS, saveS, deadlineS, dependencies);
+    }
+
+    /** The same job, with other jobs to wait for. */
+    public JobSpec after(List<String> others) {
+        return new JobSpec(id, jobClass, team, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone, oneZone,
+                spread, spot, estimateS, checkpointS, saveS, deadlineS, List.copyOf(others));
     }
 
     public ObjectNode toJson() {
@@ -57,6 +96,10 @@
         if (Double.isFinite(deadlineS)) {
             o.put("CutoffS", deadlineS);
         }
+        if (!dependencies.isEmpty()) {
+            var array = o.putArray(DEPENDENCIES);
+            dependencies.forEach(array::add);
+        }
         return o;
     }
 
--- a/src/test/java/org/saffronshore/StateStandIn.java
+++ b/src/test/java/org/saffronshore/StateStandIn.java
@@ -36,6 +36,15 @@
     public int longestTxn;
     public int mostChanges;
     public int longestValue;
+    /** Transactions beyond a limit, or with an empty list of changes. */
+    public int malformed;
+    /** Limits on a transaction: changes, and bytes of a value; beyond them 400. */
+    public int txnOps = Integer.MAX_VALUE;
+    public int valueBytes = Integer.MAX_VALUE;
+    /** Changes in a second; beyond them 429. */
+    public double writeRps = Double.POSITIVE_INFINITY;
+    private double written;
+    private double writtenAt;
     private final List<Runnable> late = new ArrayList<>();
     private final TreeMap<String, Value> values = new TreeMap<>();
     private final Map<Long, double[]> permits = new HashMap<>();
@@ -196,6 +205,21 @@
     }
 
     private Answer commit(JsonNode in) {
+        boolean tooLong = false;
+        for (JsonNode c : in.path("Then")) {
+            tooLong |= c.path("Data").toString().length() > valueBytes;
+        }
+        if (tooLong || in.path("Then").size() > txnOps || txnOps < Integer.MAX_VALUE && in.path("Guards").size() > 4 * txnOps
+                || in.has("Then") && in.get("Then").isEmpty()) {
+            malformed++;
+            return answer(400, Json.object().put("error", "malformed"));
+        }
+        written = Math.max(0, written - (loop.now() - writtenAt) * writeRps);
+        writtenAt = loop.now();
+        if (written + in.path("Then").size() > writeRps) {
+            return answer(429, Json.object());
+        }
+        written += in.path("Then").size();
         ObjectNode refusal = Json.object().put("Ledger", revision);
         ArrayNode failed = refusal.putArray("failed");
         in.path("Guards").forEach(g -> {
--- a/src/test/java/org/saffronshore/control/MeetingsTest.java
+++ b/src/test/java/org/saffronshore/control/MeetingsTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -85,6 +86,10 @@
                     () -> task + " starts on " + worker.id + " and is on " + other.id);
         }
         JobSpec job = jobs.get(jobOf(task)).job;
+        for (String needed : job.dependencies()) {
+            assertEquals("done", state.value("f/" + needed) == null ? "open" : state.value("f/" + needed).path("State").asText(),
+                    () -> task + " starts too early: " + needed + " is not done");
+        }
         double cpus = workers.values().stream().flatMap(w -> w.holds().stream())
                 .filter(t -> jobs.get(jobOf(t)).job.team().equals(job.team())).count() * TASK_CPUS;
         assertTrue(!job.team().equals("red") || cpus <= LIMIT_CPUS, () -> job.team() + " uses " + cpus + " CPUs");
@@ -134,8 +139,11 @@
         if (over) {
             told.end = status;
         }
+        double cancelledAt = cancelledAt(told.job.id());
+        assertTrue(over || loop.now() < cancelledAt + CANCEL_S, () -> told.job.id() + " is called " + status + " "
+                + (loop.now() - cancelledAt) + " s after a job that it needs was cancelled");
         if (status.equals("aborted")) {
-            assertTrue(told.cancelAsked, () -> told.job.id() + " is cancelled, and nobody asked for it");
+            assertTrue(cancelAsked(told.job.id()), () -> told.job.id() + " is cancelled, and nobody asked for it");
             told.cancelledAt = Math.min(told.cancelledAt, loop.now());
         }
         if (status.equals("done")) {
@@ -145,6 +153,22 @@
         }
     }
 
+    /** Whether a user asked to cancel the job, or one that it needs. */
+    private boolean cancelAsked(String id) {
+        Told told = jobs.get(id);
+        return told.cancelAsked || told.job.dependencies().stream().anyMatch(this::cancelAsked);
+    }
+
+    /** When a user was told first that the job, or one that it needs, is cancelled. */
+    private double cancelledAt(String id) {
+        Told told = jobs.get(id);
+        double at = told.cancelledAt;
+        for (String needed : told.job.dependencies()) {
+            at = Math.min(at, cancelledAt(needed));
+        }
+        return at;
+    }
+
     // Users
 
     /** A user's request; the answer counts if it comes within the two seconds that the user waits. */
@@ -301,7 +325,14 @@
         submit(leader(), job(2));
         submit(leader(), job(3));
         submit(leader(), inOneZone(job(2)));
-        pass(15);
+        pass(1);
+        // A chain behind them: one needs what is to run long, the next one that, and the last both.
+        submit(leader(), job(1).after(List.of("wk-1")));
+        pass(1);
+        submit(leader(), job(2).after(List.of("wk-4")));
+        pass(1);
+        submit(leader(), job(1).after(List.of("wk-5", "wk-2")));
+        pass(12);
         assertTrue(jobs.values().stream().mapToLong(this::onMachines).sum() >= 4);
         double began = loop.now();
         for (String step : script.split(", *")) {
@@ -454,9 +485,13 @@
         long open = known.stream().filter(t -> t.end == null).count();
         switch (chance.nextInt(6)) {
             case 0, 1 -> {
-                if (open < 8) {
+                if (open < 10) {
                     JobSpec job = job(1 + chance.nextInt(3));
-                    submit(node, chance.nextInt(3) == 0 ? inOneZone(job) : job);
+                    List<String> accepted = new ArrayList<>();
+                    known.stream().filter(t -> t.accepted).forEach(t -> accepted.add(t.job.id()));
+                    Collections.shuffle(accepted, chance);
+                    job = chance.nextInt(3) == 0 ? inOneZone(job) : job;
+                    submit(node, chance.nextInt(2) == 0 ? job : job.after(accepted.subList(0, Math.min(2, accepted.size()))));
                 }
             }
             case 2 -> {
--- a/src/test/java/org/saffronshore/state/JobStoreTest.java
+++ b/src/test/java/org/saffronshore/state/JobStoreTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.saffronshore.HandLoop;
 import org.saffronshore.Samples;
 import org.saffronshore.StateStandIn;
@@ -127,4 +129,135 @@
         loop.pass(60);
         assertEquals(2_000, told.size(), "every submission got its answer");
     }
+
+    // Jobs that need others
+
+    private static JobSpec job(int n, String needs) {
+        return job(n).after(needs.isEmpty() ? List.of() : List.of(needs.split(" ")));
+    }
+
+    /** wk-1 to wk-4, each needing the one before, and wk-5 that needs wk-1 and wk-3. */
+    private void chain() {
+        for (JobSpec job : List.of(job(1), job(2, "wk-1"), job(3, "wk-2"), job(4, "wk-3"), job(5, "wk-1 wk-3"))) {
+            here.accept(job, 0, told::add);
+            assertEquals(List.of(Accepted.NEW), told());
+        }
+    }
+
+    private void done(int n) {
+        service.remove("j/wk-" + n);
+        service.put("f/wk-" + n, JobStore.endRecord(Status.DONE, 1));
+    }
+
+    private Status look(JobStore at, int n) {
+        at.look("wk-" + n, told::add);
+        return (Status) told().get(0);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"wk-1, NEW", "wk-1 wk-2, NEW", "wk-7, NEW", "wk-8, NEW", "wk-9, MISSING", "wk-1 wk-9, MISSING", "wk-6, MISSING"})
+    void onlyAcceptedJobsMayBeNeeded(String needs, Accepted accepted) {
+        here.accept(job(1), 0, told::add);
+        here.accept(job(2), 0, told::add);
+        here.accept(job(7), 0, told::add);
+        here.accept(job(8), 0, told::add);
+        told();
+        done(7);
+        here.cancel("wk-8", told::add);
+        told();
+        there.accept(job(6, needs), 0, told::add);
+        assertEquals(List.of(accepted), told());
+    }
+
+    /** An end of a needed job that meets the submission is neither missed nor taken for absence. */
+    @Test
+    void aNeededJobMayEndWhileAnotherIsAccepted() {
+        here.accept(job(1), 0, told::add);
+        told();
+        there.accept(job(2, "wk-1"), 0, told::add);
+        assertEquals(List.of(Accepted.NEW), told());
+        done(1);
+        // It knows wk-1 as open by now.
+        there.accept(job(3, "wk-1"), 0, told::add);
+        there.accept(job(4), 0, told::add);
+        assertEquals(List.of(Accepted.NEW, Accepted.NEW), told());
+    }
+
+    @Test
+    void whatIsNeededIsNotGuessedAt() {
+        here.accept(job(1), 0, told::add);
+        told();
+        service.away = (method, path) -> true;
+        there.accept(job(2, "wk-1"), 0, told::add);
+        assertEquals(List.of(Accepted.UNKNOWN), told());
+    }
+
+    /** Each controller tells it at once, of all that need it and of none else, however little it knew before. */
+    @ParameterizedTest
+    @CsvSource({"1, CANCELLED CANCELLED CANCELLED CANCELLED CANCELLED", "2, OPEN CANCELLED CANCELLED CANCELLED CANCELLED",
+        "4, OPEN OPEN OPEN CANCELLED OPEN", "5, OPEN OPEN OPEN OPEN CANCELLED"})
+    void cancelsWithWhatIsNeeded(int cancelled, String statuses) {
+        chain();
+        for (int n = 1; n <= 5; n++) {
+            assertEquals(Status.OPEN, look(here, n));
+        }
+        there.cancel("wk-" + cancelled, told::add);
+        told();
+        for (JobStore at : List.of(here, there, store())) {
+            List<String> all = new ArrayList<>();
+            for (int n = 1; n <= 5; n++) {
+                all.add(look(at, n).name());
+            }
+            assertEquals(statuses, String.join(" ", all));
+        }
+        here.accept(job(6, "wk-" + cancelled), 0, told::add);
+        assertEquals(List.of(Accepted.NEW), told(), "it is accepted all the same");
+        assertEquals(Status.CANCELLED, look(store(), 6));
+    }
+
+    @Test
+    void whatIsDoneCancelsNothing() {
+        chain();
+        done(1);
+        here.cancel("wk-1", told::add);
+        assertEquals(List.of(Status.DONE), told());
+        for (int n = 2; n <= 5; n++) {
+            assertEquals(Status.OPEN, look(there, n));
+        }
+    }
+
+    /** Once it is known which jobs a job needs, one request tells whether all of them are still open. */
+    @Test
+    void asksForAWholeChainAtOnce() {
+        chain();
+        assertEquals(Status.OPEN, look(there, 5));
+        int before = service.log.size();
+        assertEquals(Status.OPEN, look(there, 5));
+        assertEquals(1, service.log.size() - before, service.log.toString());
+        done(1);
+        assertEquals(Status.OPEN, look(there, 5));
+    }
+
+    /** More jobs than a transaction may have guards, whatever the service takes. */
+    @Test
+    void looksAtWideChainsInParts() {
+        service.txnOps = Samples.settings().txnOps();
+        List<String> all = new ArrayList<>();
+        for (int n = 10; n < 80; n++) {
+            here.accept(job(n), 0, told::add);
+            told();
+            all.add("wk-" + n);
+        }
+        int most = here.mostDependencies();
+        here.accept(job(1).after(all.subList(0, most)), 0, told::add);
+        here.accept(job(2).after(all.subList(most, 2 * most)), 0, told::add);
+        assertEquals(List.of(Accepted.NEW, Accepted.NEW), told());
+        here.accept(job(3, "wk-1 wk-2"), 0, told::add);
+        assertEquals(List.of(Accepted.NEW), told());
+        assertEquals(Status.OPEN, look(there, 3));
+        here.cancel(all.get(2 * most - 1), told::add);
+        told();
+        assertEquals(Status.CANCELLED, look(there, 3));
+        assertEquals(0, service.malformed);
+    }
 }
