--- a/src/main/java/org/saffronshore/control/Pages.java
+++ b/src/main/java/org/saffronshore/control/Pages.java
@@ -162,6 +162,8 @@
     Batch addTo(Txn txn, int mostChanges, int mostTxnBytes) {
         Batch batch = new Batch();
         int bytes = 0;
+        // A copy whose entries were all taken out before it was ever written need not be.
+        pages.values().forEach(page -> page.copiedTo.removeIf(copy -> copy.version == 0 && copy.entries.isEmpty()));
         for (Page page : pages.values()) {
             boolean waits = page.asking || !page.copiedTo.isEmpty() || page.bytes > mostBytes;
             if (!page.dirty || waits || page.version == 0 && page.entries.isEmpty()) {
