--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -60,6 +60,7 @@
     private boolean cyclePlanned;
     private final KnownCancellations cancellations;
     private final double startedAt;
+    private double unpermittedAt = Double.NEGATIVE_INFINITY;
     private double awakeAt;
     private double refusedSince = Double.POSITIVE_INFINITY;
     private double lastCycleS;
@@ -303,7 +304,11 @@
         if (ended) {
             return;
         }
-        if (leadership.permitted() && loop.now() > Math.max(startedAt, cancellations.readAt()) + settings.cancelS() / 3) {
+        if (!leadership.permitted()) {
+            // After an outage the permit is renewed before the jobs can have been read: that takes a moment.
+            unpermittedAt = loop.now();
+        }
+        if (loop.now() > Math.max(Math.max(startedAt, unpermittedAt), cancellations.readAt()) + settings.cancelS() / 3) {
             leadership.stepDown("cancellations cannot be read");
         } else if (refusedAlone()) {
             leadership.stepDown("the state service serves its peers, and not it");
--- a/src/test/java/org/saffronshore/control/MeetingsTest.java
+++ b/src/test/java/org/saffronshore/control/MeetingsTest.java
@@ -244,6 +244,7 @@
         pass(20);
         assertEquals(4, onMachines(gone) + onMachines(stays));
         Process leader = leader();
+        long term = leader.node.leadership().term();
         leader.refused = true;
         pass(0.5);
         cancel(follower(), gone);
@@ -260,6 +261,7 @@
         away(false, CANCEL_S + 30);
         pass(60);
         assertEquals(2, onMachines(stays));
+        assertEquals(term, leader().node.leadership().term(), "an outage that all share is no reason to make way");
     }
 
     /**
