One way in which a job ends; largest jobs stay in the old form where values are long

The guarded move from j/ to f/ stood three times; JobStore.end is now the one. readEnd had a parameter that was always the same. Found on the last reading: with long values jobs of more than 32,768 tasks were written under q/ too, which the production version does not read; the new test of UpgradeTest fails without the guard.

--- a/src/main/java/org/saffronshore/control/Chains.java
+++ b/src/main/java/org/saffronshore/control/Chains.java
@@ -54,7 +54,7 @@
     }
 
     private void ask(String id) {
-        store.readEnd(id, false, end -> {
+        store.readEnd(id, end -> {
             asked.remove(id);
             if (leader.ended()) {
                 return;
--- a/src/main/java/org/saffronshore/control/Records.java
+++ b/src/main/java/org/saffronshore/control/Records.java
@@ -216,8 +216,7 @@
     private void saveFinished(Job job) {
         String id = job.spec().id();
         long endedMs = loop.wallMs();
-        Txn txn = guarded().guard(Keys.job(id), job.version()).guard(Keys.end(id), 0)
-                .set(Keys.end(id), JobStore.endRecord(JobStore.Status.DONE, endedMs)).remove(Keys.job(id));
+        Txn txn = JobStore.end(guarded(), id, job.version(), JobStore.Status.DONE, endedMs);
         job.saving(true);
         state.commit(txn, true, answer -> {
             job.saving(false);
@@ -243,8 +242,7 @@
     /** Writes that a job is cancelled with one that it needs: users are told so already. */
     void saveCancelled(Job job, Runnable then) {
         String id = job.spec().id();
-        Txn txn = guarded().guard(Keys.job(id), job.version()).guard(Keys.end(id), 0)
-                .set(Keys.end(id), JobStore.endRecord(JobStore.Status.CANCELLED, loop.wallMs())).remove(Keys.job(id));
+        Txn txn = JobStore.end(guarded(), id, job.version(), JobStore.Status.CANCELLED, loop.wallMs());
         state.commit(txn, false, answer -> {
             if (leader.ended()) {
                 return;
@@ -311,7 +309,7 @@
         BitSet news = (BitSet) now.clone();
         news.andNot(job.savedTasks());
         // Pieces of the usual length are what earlier versions read; of all but the largest jobs one holds all.
-        boolean shorter = job.spec().tasks() > shortPiece;
+        boolean shorter = shortPiece < PIECE && job.spec().tasks() > shortPiece;
         int length = shorter ? shortPiece : PIECE;
         for (int i = news.nextSetBit(0); i >= 0; i = news.nextSetBit((i / length + 1) * length)) {
             int piece = i / length;
--- a/src/main/java/org/saffronshore/state/JobStore.java
+++ b/src/main/java/org/saffronshore/state/JobStore.java
@@ -94,6 +94,12 @@
         return Json.object().put("State", status == Status.DONE ? "done" : "aborted").put("At", atMs);
     }
 
+    /** Adds the one way in which a job ends: its key goes, and its end comes, if it is open in that version. */
+    public static Txn end(Txn txn, String id, long version, Status status, long atMs) {
+        return txn.guard(Keys.job(id), version).guard(Keys.end(id), 0).set(Keys.end(id), endRecord(status, atMs))
+                .remove(Keys.job(id));
+    }
+
     /** How many jobs one may need: each is guarded while it is open, beside the two keys of the job itself. */
     public int mostDependencies() {
         return mostGuards - 2;
@@ -349,12 +355,12 @@
     }
 
     private void lookForEnd(String id, Consumer<Status> then) {
-        readEnd(id, false, end -> then.accept(end.status()));
+        readEnd(id, end -> then.accept(end.status()));
     }
 
     /** Reads how a job ended: absent when it has no end, unknown when that cannot be told. */
-    public void readEnd(String id, boolean vital, Consumer<End> then) {
-        state.get(Keys.end(id), vital, end -> {
+    public void readEnd(String id, Consumer<End> then) {
+        state.get(Keys.end(id), false, end -> {
             JsonNode body = end.ok() ? end.json() : null;
             String text = body == null ? null : Json.text(body.path("Data"), "State");
             long atMs = body == null ? 0 : Json.count(body.path("Data"), "At", 0);
@@ -417,8 +423,7 @@
                 then.accept(Status.UNKNOWN);
                 return;
             }
-            Txn txn = new Txn().guard(Keys.job(id), Json.count(body, "Stamp", -1)).guard(Keys.end(id), 0)
-                    .set(Keys.end(id), endRecord(Status.CANCELLED, loop.wallMs())).remove(Keys.job(id));
+            Txn txn = end(new Txn(), id, Json.count(body, "Stamp", -1), Status.CANCELLED, loop.wallMs());
             state.commit(txn, false, answer -> {
                 if (answer.ok()) {
                     then.accept(remember(id, Status.CANCELLED));
--- a/src/test/java/org/saffronshore/control/UpgradeTest.java
+++ b/src/test/java/org/saffronshore/control/UpgradeTest.java
@@ -121,4 +121,16 @@
         known.told("n-1", 110, 0);
         assertEquals(100, known.upTo());
     }
+
+    /** Where values are long the largest jobs too are written in the pieces that production reads. */
+    @Test
+    void largeJobsStayReadableWhereValuesAreLong() throws InvalidField {
+        newVersionStarts();
+        runsVary = true;
+        process.ask("POST", "/work", Samples.job("wk-5", "free", Priority.STANDARD, 33_000, 0.0001).toJson(), 201);
+        loop.pass(RUN_S);
+        assertTrue(completed.stream().anyMatch(task -> task.startsWith("wk-5/")));
+        assertTrue(state.value("p/0").has("wk-5/0"));
+        assertNull(state.value("q/0"));
+    }
 }
