--- /dev/null
+++ b/src/test/java/org/saffronshore/control/MeetingsTest.java
@@ -0,0 +1,394 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.saffronshore.Samples;
+import org.saffronshore.http.Request;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.Priority;
+
+/**
+ * Troubles that meet, with three controllers, and the protocol's rules looked after at every step. `docs/meetings.md`
+ * says which test is for which meeting.
+ */
+class MeetingsTest extends World {
+    private static final double CANCEL_S = 40;
+    /** Red's limit. Four tasks of four CPUs. */
+    private static final double LIMIT_CPUS = 16;
+    private static final double TASK_CPUS = 4;
+
+    /** What users were told of a job, the last of it, and when they were told that it is cancelled. */
+    private static final class Told {
+        final JobSpec job;
+        boolean accepted;
+        boolean cancelAsked;
+        String end;
+        double cancelledAt = Double.POSITIVE_INFINITY;
+
+        Told(JobSpec job) {
+            this.job = job;
+        }
+    }
+
+    private final Map<String, Told> jobs = new LinkedHashMap<>();
+    /** The rules are looked after once in this time. */
+    private static final double STEP_S = 0.25;
+    private int lastJob;
+
+    private ObjectNode settings() {
+        ObjectNode json = Samples.settingsJson();
+        json.withObject("/cluster/teams/0").put("cpus", 8).put("cpus_max", LIMIT_CPUS);
+        return json;
+    }
+
+    private Process life(String name) {
+        try {
+            return new Process(name, true, settings());
+        } catch (InvalidField e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        mostMachines = 6;
+        List.of("n-0", "n-1", "n-2").forEach(this::life);
+        pass(10);
+    }
+
+    // The rules
+
+    @Override
+    void started(Worker worker, String task) {
+        for (Worker other : workers.values()) {
+            assertFalse(other != worker && other.holds().contains(task),
+                    () -> task + " starts on " + worker.id + " and is on " + other.id);
+        }
+        JobSpec job = jobs.get(jobOf(task)).job;
+        double cpus = workers.values().stream().flatMap(w -> w.holds().stream())
+                .filter(t -> jobs.get(jobOf(t)).job.team().equals(job.team())).count() * TASK_CPUS;
+        assertTrue(!job.team().equals("red") || cpus <= LIMIT_CPUS, () -> job.team() + " uses " + cpus + " CPUs");
+        if (job.oneZone()) {
+            Set<String> zones = new TreeSet<>();
+            workers.values().stream().filter(w -> w.holds().stream().anyMatch(t -> jobOf(t).equals(job.id())))
+                    .forEach(w -> zones.add(w.report.get("Depot").asText()));
+            assertEquals(1, zones.size(), () -> job.id() + " is in " + zones);
+        }
+    }
+
+    private static String jobOf(String task) {
+        return task.substring(0, task.indexOf('/'));
+    }
+
+    private void checkCancelled() {
+        for (Worker w : workers.values()) {
+            for (String task : w.holds()) {
+                Told told = jobs.get(jobOf(task));
+                // A machine that hangs runs nothing.
+                assertTrue(loop.now() < told.cancelledAt + CANCEL_S || loop.now() < w.hangsUntil, () -> task + " is on "
+                        + w.id + " " + (loop.now() - told.cancelledAt) + " s after its user was told it is cancelled");
+            }
+        }
+    }
+
+    /** Lets time pass, and looks after the rules. */
+    private void pass(double seconds) {
+        double until = loop.now() + seconds;
+        while (loop.now() < until - 1e-9) {
+            loop.pass(Math.min(STEP_S, until - loop.now()));
+            checkCancelled();
+            long acting = processes.values().stream().filter(p -> !p.dead && p.node.leadership().acting()).count();
+            assertTrue(acting <= 1, acting + " act");
+        }
+    }
+
+    private void heard(Told told, int code, JsonNode answer) {
+        String status = answer.path("Status").asText("");
+        assertTrue(code != 404 || !told.accepted, () -> told.job.id() + " was accepted, and is forgotten");
+        if (code != 200 && code != 201) {
+            return;
+        }
+        told.accepted = true;
+        boolean over = status.equals("done") || status.equals("aborted");
+        assertTrue(told.end == null || told.end.equals(status), () -> told.job.id() + " was " + told.end + ", is " + status);
+        if (over) {
+            told.end = status;
+        }
+        if (status.equals("aborted")) {
+            assertTrue(told.cancelAsked, () -> told.job.id() + " is cancelled, and nobody asked for it");
+            told.cancelledAt = Math.min(told.cancelledAt, loop.now());
+        }
+        if (status.equals("done")) {
+            for (int i = 0; i < told.job.tasks(); i++) {
+                assertTrue(completed.contains(told.job.id() + "/" + i), () -> told.job.id() + " is not done");
+            }
+        }
+    }
+
+    // Users
+
+    /** A user's request; the answer counts if it comes within the two seconds that the user waits. */
+    private void user(Process node, Told told, String method, String path, JsonNode body) {
+        double sentAt = loop.now();
+        if (!node.dead) {
+            node.node.handle(new Request(method, path, body == null ? new byte[0] : Json.bytes(body)),
+                    (code, type, bytes, r) -> {
+                        if (!node.dead && loop.now() < sentAt + 2) {
+                            heard(told, code, Json.parse(bytes));
+                        }
+                    });
+        }
+    }
+
+    private Told submit(Process node, JobSpec job) {
+        Told told = jobs.computeIfAbsent(job.id(), id -> new Told(job));
+        user(node, told, "POST", "/work", job.toJson());
+        return told;
+    }
+
+    private void poll(Process node, Told told) {
+        user(node, told, "GET", "/work/" + told.job.id(), null);
+    }
+
+    private void cancel(Process node, Told told) {
+        told.cancelAsked = true;
+        user(node, told, "POST", "/work/" + told.job.id() + "/cancel", null);
+    }
+
+    private JobSpec job(int tasks) {
+        return Samples.job("wk-" + ++lastJob, "red", Priority.STANDARD, tasks, TASK_CPUS);
+    }
+
+    private Process leader() {
+        return processes.values().stream().filter(p -> !p.dead && p.node.leadership().leading()).findFirst().orElse(null);
+    }
+
+    private Process follower() {
+        return processes.values().stream().filter(p -> !p.dead && !p.node.leadership().leading()).findFirst().get();
+    }
+
+    private long onMachines(Told told) {
+        return workers.values().stream().flatMap(w -> w.holds().stream()).filter(t -> jobOf(t).equals(told.job.id())).count();
+    }
+
+    private void away(boolean now, double forS) {
+        state.away = now ? (method, path) -> true : (method, path) -> false;
+        if (!now) {
+            state.outlive(forS);
+        }
+    }
+
+    // The meeting before all others
+
+    /**
+     * The state service refuses the leader alone, another controller confirms a cancellation, then the service is away
+     * for all for longer than a cancellation may take, and workers keep reporting. The cancelled tasks go; the others
+     * go on, since every controller says what it confirmed.
+     */
+    @ParameterizedTest
+    @CsvSource({"false, true", "true, false"})
+    void cancelledWhileTheLeaderIsRefusedAndThenAllAre(boolean peersOutOfReach, boolean othersGoOn) {
+        runS = 300;
+        Told gone = submit(leader(), job(2));
+        Told stays = submit(leader(), job(2));
+        pass(20);
+        assertEquals(4, onMachines(gone) + onMachines(stays));
+        Process leader = leader();
+        leader.refused = true;
+        pass(0.5);
+        cancel(follower(), gone);
+        pass(0.3);
+        assertEquals("aborted", gone.end);
+        leader.withoutPeers = peersOutOfReach;
+        away(true, 0);
+        pass(CANCEL_S + 30);
+        assertEquals(0, onMachines(gone));
+        assertEquals(othersGoOn, leader.node.leadership().acting());
+        assertEquals(othersGoOn ? 2 : 0, onMachines(stays));
+        leader.refused = false;
+        leader.withoutPeers = false;
+        away(false, CANCEL_S + 30);
+        pass(60);
+        assertEquals(2, onMachines(stays));
+    }
+
+    /**
+     * Nobody leads for a while, and cancellations are confirmed meanwhile; a new leader has its key, but the service is
+     * away before it has read the jobs. It knows of no cancellation, however fresh its key is, and keeps nothing alive.
+     */
+    @Test
+    void aLeaderThatHasNotReadTheJobsKeepsNothingAlive() {
+        runS = 300;
+        Told told = submit(leader(), job(2));
+        pass(20);
+        assertEquals(2, onMachines(told));
+        leader().dead = true;
+        // Nobody can lead: the key cannot be claimed.
+        state.away = (method, path) -> path.equals("/holds");
+        pass(3);
+        cancel(follower(), told);
+        pass(10);
+        assertEquals("aborted", told.end);
+        // The next one claims its key, and then the service is away but for its permits.
+        state.away = (method, path) -> method.equals("GET") && path.startsWith("/kv?");
+        pass(8);
+        assertNotNull(leader());
+        assertFalse(leader().node.leadership().acting());
+        pass(CANCEL_S);
+        assertEquals(0, onMachines(told));
+        away(false, 0);
+        pass(30);
+        assertTrue(leader().node.leadership().acting());
+    }
+
+    // Any troubles
+
+    /** A few, always the same; more are played with {@code -Dmeetings.seeds=100}. */
+    static IntStream seeds() {
+        return IntStream.rangeClosed(1, Integer.getInteger("meetings.seeds", 4));
+    }
+
+    /** Whatever meets whatever: the rules hold, and once all is over every job ends. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void theRulesHoldWhateverMeets(int seed) {
+        chance.setSeed(seed);
+        runS = 12;
+        runsVary = true;
+        double outageSince = Double.NaN;
+        for (int round = 0; round < 30; round++) {
+            Process one = processes.get("n-" + chance.nextInt(3));
+            Process leader = leader();
+            switch (chance.nextInt(16)) {
+                case 0 -> one.refused = !one.refused;
+                case 1 -> {
+                    if (leader != null) {
+                        leader.refused = true;
+                    }
+                }
+                case 2 -> one.withoutPeers = !one.withoutPeers;
+                case 3 -> one.withoutWorkers = !one.withoutWorkers;
+                case 4, 5 -> {
+                    one.dead = true;
+                    loop.after(chance.nextInt(3) == 0 ? 0.2 : 5, () -> {
+                        if (processes.get(one.name) == one) {
+                            life(one.name);
+                        }
+                    });
+                }
+                case 6 -> {
+                    boolean over = !Double.isNaN(outageSince);
+                    away(!over, over ? loop.now() - outageSince : 0);
+                    outageSince = over ? Double.NaN : loop.now();
+                }
+                case 7, 8 -> {
+                    for (Worker w : workers.values()) {
+                        if (chance.nextInt(3) == 0) {
+                            w.hangsUntil = loop.now() + 30 * chance.nextDouble();
+                        }
+                    }
+                }
+                case 9 -> workers.values().forEach(w -> w.deaf = chance.nextInt(4) == 0);
+                case 10 -> workers.values().forEach(w -> w.mute = chance.nextInt(3) == 0);
+                case 11 -> lateWrites = chance.nextInt(2) * 0.3;
+                case 12 -> lateCommands = chance.nextInt(2) * 0.3;
+                case 13 -> lateReports = chance.nextInt(2) * 0.3;
+                default -> {
+                    // Troubles last; users go on.
+                }
+            }
+            for (int i = chance.nextInt(4); i >= 0; i--) {
+                use();
+                pass(chance.nextDouble() * 3);
+            }
+            // Troubles come in heaps: a few more each time, until all are over for a while.
+            if (chance.nextInt(5) == 0) {
+                heal(Double.isNaN(outageSince) ? 0 : loop.now() - outageSince);
+                outageSince = Double.NaN;
+                for (int i = 0; i < 5; i++) {
+                    use();
+                    pass(chance.nextDouble() * 6);
+                }
+            }
+        }
+        heal(Double.isNaN(outageSince) ? 0 : loop.now() - outageSince);
+        // The longest wait: a bad moment, a lease, and what the team's limit lets through at a time.
+        for (int i = 0; i < 60 && jobs.values().stream().anyMatch(t -> t.accepted && t.end == null); i++) {
+            jobs.values().stream().filter(t -> t.accepted && t.end == null).forEach(t -> poll(processes.get("n-0"), t));
+            pass(5);
+        }
+        List<String> open = new ArrayList<>();
+        jobs.values().stream().filter(t -> t.accepted && t.end == null).forEach(t -> open.add(t.job.id()));
+        assertTrue(open.isEmpty(), () -> "not over: " + open);
+        assertTrue(jobs.values().stream().filter(t -> "done".equals(t.end)).count() > 5,
+                () -> "hardly any job was done, of " + jobs.size());
+    }
+
+    /** What users do in between, each at any controller. */
+    private void use() {
+        Process node = processes.get("n-" + chance.nextInt(3));
+        List<Told> known = new ArrayList<>(jobs.values());
+        Told some = known.isEmpty() ? null : known.get(chance.nextInt(known.size()));
+        long open = known.stream().filter(t -> t.end == null).count();
+        switch (chance.nextInt(6)) {
+            case 0, 1 -> {
+                if (open < 8) {
+                    JobSpec j = job(1 + chance.nextInt(3));
+                    boolean oneZone = chance.nextInt(3) == 0;
+                    submit(node, new JobSpec(j.id(), j.jobClass(), j.team(), j.priority(), j.tasks(), j.cpus(), 0, 1, "image", 1,
+                            null, null, oneZone, false, true, 30, 0, 0, Double.POSITIVE_INFINITY));
+                }
+            }
+            case 2 -> {
+                if (some != null && chance.nextInt(2) == 0) {
+                    cancel(node, some);
+                }
+            }
+            case 3 -> {
+                if (some != null) {
+                    submit(node, some.job);
+                }
+            }
+            default -> known.forEach(t -> poll(processes.get("n-" + chance.nextInt(3)), t));
+        }
+    }
+
+    private void heal(double outageS) {
+        lateWrites = 0;
+        lateCommands = 0;
+        lateReports = 0;
+        away(false, outageS);
+        for (String name : List.of("n-0", "n-1", "n-2")) {
+            Process p = processes.get(name);
+            if (p.dead) {
+                p = life(name);
+            }
+            p.refused = false;
+            p.withoutPeers = false;
+            p.withoutWorkers = false;
+        }
+        workers.values().forEach(w -> {
+            w.deaf = false;
+            w.mute = false;
+        });
+    }
+}
--- a/src/test/java/org/saffronshore/control/PagesTest.java
+++ b/src/test/java/org/saffronshore/control/PagesTest.java
@@ -91,6 +91,20 @@
         assertEquals(Map.of("host-1", 1L, "host-2", 2L), stored());
     }
 
+    /** Nor may it bring back, in a page that was emptied since, what is not there any more. */
+    @Test
+    void aLateWriteDoesNotBringBackAnEmptiedPage() {
+        pages.put("host-1", LongNode.valueOf(1));
+        service.held = (method, path) -> path.equals("/commit");
+        assertFalse(write(pages));
+        service.held = (method, path) -> false;
+        assertTrue(write(pages), "the repeat is carried out first");
+        pages.remove("host-1");
+        assertTrue(write(pages));
+        service.deliverLate();
+        assertEquals(Map.of(), stored());
+    }
+
     /** Nor may a page be stuck for good once such a copy came through. */
     @Test
     void aLateWriteThatCameThroughIsFound() {
--- a/src/test/java/org/saffronshore/leadership/LeadershipTest.java
+++ b/src/test/java/org/saffronshore/leadership/LeadershipTest.java
@@ -332,6 +332,30 @@
         assertTrue(one.leadership.acting());
     }
 
+    /** What a candidate wrote to ask for votes, carried out late, must not take the place of a later call, nor a vote. */
+    @Test
+    void lateCallsAndVotesChangeNothing() {
+        StateBallot late = new StateBallot(loop, new StateClient(loop, service, Samples.settings()), "n-5", "x", LIFE_S);
+        StateBallot second = new StateBallot(loop, new StateClient(loop, service, Samples.settings()), "n-6", "y", LIFE_S);
+        service.held = (method, path) -> path.equals("/commit");
+        late.ask(7, (node, life, term) -> true, given -> true, given -> { });
+        loop.pass(0.1);
+        service.held = (method, path) -> false;
+        second.ask(8, (node, life, term) -> true, given -> false, given -> { });
+        loop.pass(0.1);
+        service.deliverLate();
+        assertEquals("n-6", service.value(Keys.CALL).path("Node").asText());
+        service.held = (method, path) -> path.equals("/commit");
+        StateBallot voter = new StateBallot(loop, new StateClient(loop, service, Samples.settings()), "n-7", "z", LIFE_S);
+        voter.ask(8, (node, life, term) -> true, given -> false, given -> { });
+        loop.pass(0.1);
+        service.held = (method, path) -> false;
+        second.ask(9, (node, life, term) -> true, given -> false, given -> { });
+        loop.pass(0.1);
+        service.deliverLate();
+        assertNull(service.value(Keys.vote("n-7")), "it was for a call that does not stand any more");
+    }
+
     /** The candidate's process ends, and its next life is there a moment later. */
     private void restart(Candidate candidate, double afterS) {
         candidate.dead = true;
