--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.saffronshore.admin.Metrics;
 import org.saffronshore.admin.OperatorSettings;
@@ -175,7 +177,7 @@
 
     private void load() {
         double askedAt = loop.now();
-        state.lists(List.of(Keys.PROGRESS, Keys.ROSTER, Keys.REACH, Keys.JOBS), read -> {
+        state.lists(List.of(Keys.PROGRESS, Keys.SHORT_PROGRESS, Keys.ROSTER, Keys.REACH, Keys.JOBS), read -> {
             if (ended) {
                 return;
             }
@@ -184,7 +186,9 @@
                 return;
             }
             StateClient.Listing jobs = read.get(Keys.JOBS);
-            feed.begin(jobs, records.readProgress(read.get(Keys.PROGRESS)), records.readReach(read.get(Keys.REACH)));
+            Map<String, BitSet> done = records.readProgress(read.get(Keys.PROGRESS));
+            records.readShortProgress(read.get(Keys.SHORT_PROGRESS), done);
+            feed.begin(jobs, done, records.readReach(read.get(Keys.REACH)));
             records.begin(read.get(Keys.ROSTER));
             loaded = true;
             cancellationsRead(askedAt);
--- a/src/main/java/org/saffronshore/control/Pages.java
+++ b/src/main/java/org/saffronshore/control/Pages.java
@@ -32,6 +32,8 @@
         long version;
         /** Its version is being asked for, since a write of unknown outcome turned out to have been carried out. */
         boolean asking;
+        /** Pages that its entries were copied to, and that are not written yet: until then it stays as it is. */
+        final Set<Page> copiedTo = new HashSet<>();
 
         Page(String key) {
             this.key = key;
@@ -70,6 +72,32 @@
                 each.accept(f.getKey(), f.getValue());
             });
         }
+        new ArrayList<>(pages.values()).stream().filter(page -> page.bytes > mostBytes).forEach(this::split);
+    }
+
+    /**
+     * A page from a time when values could be longer. What it holds is copied to other pages, and only once these are
+     * written it is written anew itself, so that nothing is missing for a moment. An entry that is too long for any page
+     * stays alone in the old one, which cannot be written until that entry is taken out.
+     */
+    private void split(Page old) {
+        for (Map.Entry<String, JsonNode> e : List.copyOf(old.entries.entrySet())) {
+            int size = size(e.getKey(), e.getValue());
+            if (size <= mostBytes) {
+                old.entries.remove(e.getKey());
+                old.bytes -= size;
+                Page copy = withRoom(size);
+                add(copy, e.getKey(), e.getValue());
+                copy.dirty = true;
+                old.copiedTo.add(copy);
+            }
+        }
+        old.dirty = true;
+    }
+
+    /** Whether entries are being moved from pages that have become too long: some may stand in two pages. */
+    boolean splitting() {
+        return pages.values().stream().anyMatch(page -> !page.copiedTo.isEmpty());
     }
 
     private static int size(String name, JsonNode value) {
@@ -108,7 +136,7 @@
         int free = 0;
         for (Map.Entry<Integer, Page> e : pages.entrySet()) {
             Page page = e.getValue();
-            if (page.entries.isEmpty() || page.bytes + size <= fillBytes) {
+            if (page.copiedTo.isEmpty() && (page.entries.isEmpty() || page.bytes + size <= fillBytes)) {
                 return page;
             }
             free = Math.max(free, e.getKey() + 1);
@@ -135,7 +163,8 @@
         Batch batch = new Batch();
         int bytes = 0;
         for (Page page : pages.values()) {
-            if (!page.dirty || page.asking || page.version == 0 && page.entries.isEmpty()) {
+            boolean waits = page.asking || !page.copiedTo.isEmpty() || page.bytes > mostBytes;
+            if (!page.dirty || waits || page.version == 0 && page.entries.isEmpty()) {
                 continue;
             }
             if (txn.changes() >= mostChanges || !batch.pages.isEmpty() && bytes + page.bytes > mostTxnBytes) {
@@ -176,6 +205,7 @@
             if (answer.ok() && body != null) {
                 long version = Json.count(body, "Ledger", 0);
                 pages.forEach(page -> page.version = version);
+                Pages.this.pages.values().forEach(page -> page.copiedTo.removeAll(pages));
                 return true;
             }
             Set<String> refused = new HashSet<>();
--- a/src/main/java/org/saffronshore/control/Records.java
+++ b/src/main/java/org/saffronshore/control/Records.java
@@ -42,9 +42,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(Records.class);
     /** Finished tasks are kept in pieces, so that an entry stays below what the state service takes. */
     private static final int PIECE = 32_768;
-    /** Pages are filled to this share of the longest value, and may grow to that. */
-    private static final double FILLED = 0.25;
+    /** Pages are filled to about this length, or to a share of the longest value where that is short. */
+    private static final int PAGE_BYTES = 4096;
+    private static final double FILLED = 0.6;
+    /** They may grow to this share of it. */
     private static final double GROWN = 0.9;
+    /** What an entry of finished tasks takes beside its bits. */
+    private static final int NAME_BYTES = 64;
     /** Launches may wait for a write so many times in a report interval; each spends the budget of all nodes. */
     private static final double REACH_WRITES = 40;
     /** A transaction may be 64 KiB long; this leaves room for its guards. */
@@ -58,9 +62,13 @@
     private final Leader leader;
     private final Cluster cluster;
     private final Pages progress;
+    /** Where values are too short for pieces of the usual length, the pieces of the largest jobs; and their length. */
+    private final Pages shortProgress;
+    private final int shortPiece;
     private final Pages roster;
     private final Pages reach;
     private boolean progressBusy;
+    private boolean shortFirst;
     private boolean rosterBusy;
     private boolean reachBusy;
     private double reachAgainAt = Double.NEGATIVE_INFINITY;
@@ -75,8 +83,14 @@
         this.leadership = node.leadership();
         this.leader = leader;
         this.cluster = cluster;
-        int fill = (int) (settings.valueKb() * 1024 * FILLED);
+        int fill = (int) Math.min(PAGE_BYTES, settings.valueKb() * 1024 * FILLED);
         int most = (int) (settings.valueKb() * 1024 * GROWN);
+        int shortPiece = PIECE;
+        while (shortPiece > Byte.SIZE && shortPiece / 6 + NAME_BYTES > most) {
+            shortPiece /= 2;
+        }
+        this.shortPiece = shortPiece;
+        this.shortProgress = new Pages(Keys.SHORT_PROGRESS, fill, most);
         this.progress = new Pages(Keys.PROGRESS, fill, most);
         this.roster = new Pages(Keys.ROSTER, fill, most);
         this.reach = new Pages(Keys.REACH, fill, most);
@@ -87,18 +101,26 @@
     /** The finished tasks of each job. */
     Map<String, BitSet> readProgress(StateClient.Listing stored) {
         Map<String, BitSet> done = new HashMap<>();
-        progress.read(stored.entries(), (name, value) -> {
-            BitSet bits = done.computeIfAbsent(Keys.idOf(Keys.PROGRESS + name), j -> new BitSet());
-            int piece = Integer.parseInt(name.substring(name.indexOf('/') + 1));
-            try {
-                BitSet.valueOf(value.binaryValue()).stream().forEach(i -> bits.set(piece * PIECE + i));
-            } catch (IOException | RuntimeException e) {
-                LOG.error("the record of finished tasks {} cannot be read", name, e);
-            }
-        });
+        progress.read(stored.entries(), (name, value) -> finished(done, name, value, PIECE));
         return done;
     }
 
+    /** The same of jobs that have shorter pieces. */
+    void readShortProgress(StateClient.Listing stored, Map<String, BitSet> done) {
+        shortProgress.read(stored.entries(), (name, value) -> finished(done, name, value.path("Bits"),
+                (int) Json.count(value, "Piece", shortPiece)));
+    }
+
+    private static void finished(Map<String, BitSet> done, String name, JsonNode value, int pieceLength) {
+        BitSet bits = done.computeIfAbsent(Keys.idOf(Keys.PROGRESS + name), j -> new BitSet());
+        int piece = Integer.parseInt(name.substring(name.lastIndexOf('/') + 1));
+        try {
+            BitSet.valueOf(value.binaryValue()).stream().forEach(i -> bits.set(piece * pieceLength + i));
+        } catch (IOException | RuntimeException e) {
+            LOG.error("the record of finished tasks {} cannot be read", name, e);
+        }
+    }
+
     /** How far each job's tasks may have been launched. */
     Map<String, Integer> readReach(StateClient.Listing stored) {
         Map<String, Integer> all = new HashMap<>();
@@ -108,18 +130,23 @@
 
     /** Tells the cluster of all machines that may hold tasks, and forgets the progress of jobs that are over. */
     void begin(StateClient.Listing storedRoster) {
+        Set<String> seen = new HashSet<>();
         roster.read(storedRoster.entries(), (machine, entry) -> {
+            // While a page is split an entry may stand twice, and nothing tells which is the newer one.
+            boolean once = seen.add(machine);
             double ageS = (loop.wallMs() - Json.count(entry, "At", Long.MAX_VALUE / 2)) / 1000.0;
-            cluster.addRoster(machine, ageS - 2 * settings.clockOffS(), held(entry.get("Held")));
+            cluster.addRoster(machine, ageS - 2 * settings.clockOffS(), once ? held(entry.get("Held")) : null);
         });
         for (String job : new ArrayList<>(reach.names())) {
             if (cluster.job(job) == null) {
                 reach.remove(job);
             }
         }
-        for (String name : new ArrayList<>(progress.names())) {
-            if (cluster.job(Keys.idOf(Keys.PROGRESS + name)) == null) {
-                progress.remove(name);
+        for (Pages pages : List.of(progress, shortProgress)) {
+            for (String name : new ArrayList<>(pages.names())) {
+                if (cluster.job(Keys.idOf(Keys.PROGRESS + name)) == null) {
+                    pages.remove(name);
+                }
             }
         }
     }
@@ -165,6 +192,9 @@
         for (int piece = 0; piece * PIECE < JobSpec.MOST_TASKS; piece++) {
             progress.remove(name(job, piece));
         }
+        if (shortPiece < PIECE) {
+            shortProgress.names().stream().filter(name -> name.startsWith(job + "/")).toList().forEach(shortProgress::remove);
+        }
     }
 
     private static String name(String job, int piece) {
@@ -243,7 +273,11 @@
             }
         }
         Txn txn = guarded();
-        Pages.Batch batch = progress.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+        // In turns, should both have something to write.
+        shortFirst = !shortFirst;
+        Pages.Batch first = (shortFirst ? shortProgress : progress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+        Pages.Batch batch = first.isEmpty()
+                ? (shortFirst ? progress : shortProgress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES) : first;
         if (batch.isEmpty()) {
             return;
         }
@@ -276,11 +310,18 @@
         Set<String> names = new LinkedHashSet<>();
         BitSet news = (BitSet) now.clone();
         news.andNot(job.savedTasks());
-        for (int i = news.nextSetBit(0); i >= 0; i = news.nextSetBit((i / PIECE + 1) * PIECE)) {
-            int piece = i / PIECE;
+        // Pieces of the usual length are what earlier versions read; of all but the largest jobs one holds all.
+        boolean shorter = job.spec().tasks() > shortPiece;
+        int length = shorter ? shortPiece : PIECE;
+        for (int i = news.nextSetBit(0); i >= 0; i = news.nextSetBit((i / length + 1) * length)) {
+            int piece = i / length;
             String name = name(job.spec().id(), piece);
-            byte[] bits = now.get(piece * PIECE, (piece + 1) * PIECE).toByteArray();
-            progress.put(name, TextNode.valueOf(Base64.getEncoder().encodeToString(bits)));
+            String bits = Base64.getEncoder().encodeToString(now.get(piece * length, (piece + 1) * length).toByteArray());
+            if (shorter) {
+                shortProgress.put(name, Json.object().put("Bits", bits).put("Piece", length));
+            } else {
+                progress.put(name, TextNode.valueOf(bits));
+            }
             names.add(name);
         }
         return names;
@@ -330,16 +371,18 @@
      * should the leader change then, only these tasks must wait for the machine, and not all.
      */
     void saveRoster() {
-        if (rosterBusy || loop.now() < rosterAgainAt || !cluster.roster().due()) {
+        if (rosterBusy || loop.now() < rosterAgainAt || !cluster.roster().due() && !roster.splitting()) {
             return;
         }
-        for (Machine m : cluster.roster().takeFrozen()) {
+        for (Machine m : roster.splitting() ? List.<Machine>of() : cluster.roster().takeFrozen()) {
             ObjectNode entry = entry();
             ArrayNode held = entry.putArray("Held");
             m.attempts().forEach(a -> held.add(a.task().toString()));
             roster.replace(m.id(), entry);
         }
-        List<Machine> added = cluster.roster().missing();
+        // Entries that are being moved are entered nowhere else meanwhile.
+        boolean splitting = roster.splitting();
+        List<Machine> added = splitting ? List.of() : cluster.roster().missing();
         added.forEach(m -> roster.put(m.id(), entry()));
         List<String> left = new ArrayList<>(cluster.roster().left());
         left.forEach(roster::remove);
--- a/src/main/java/org/saffronshore/control/TypeFeed.java
+++ b/src/main/java/org/saffronshore/control/TypeFeed.java
@@ -11,6 +11,7 @@
 import org.saffronshore.state.StateClient;
 import org.saffronshore.state.Txn;
 import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.Json;
 import org.saffronshore.wire.MachineType;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -96,7 +97,7 @@
     void keep() {
         boolean same = told == null || kept.keySet().equals(types.keySet())
                 && types.values().stream().allMatch(t -> t.sameButForPrices(kept.get(t.name())));
-        if (same || !leadership.permitted()) {
+        if (same || !leadership.permitted() || Json.bytes(told).length > settings.valueKb() * 1024) {
             return;
         }
         Map<String, MachineType> keeping = types;
--- a/src/main/java/org/saffronshore/state/Keys.java
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -8,6 +8,8 @@
     public static final String FINALS = "f/";
     /** Pages of finished tasks of jobs that are not over. */
     public static final String PROGRESS = "p/";
+    /** The same of jobs so large that their pieces do not fit into short values; earlier versions do not read these. */
+    public static final String SHORT_PROGRESS = "q/";
     /** Pages of how far the tasks of each open job may have been launched. */
     public static final String REACH = "b/";
     /** Pages of machines that may hold tasks. */
--- a/src/test/java/org/saffronshore/control/NodeTest.java
+++ b/src/test/java/org/saffronshore/control/NodeTest.java
@@ -379,4 +379,161 @@
         assertEquals(heeded, granted("/peer/vote", "n-2", "y", 2, 8));
         assertFalse(granted("/peer/vote", "n-2", "y", 2, 8), "a copy is given nothing");
     }
+
+    // Jobs that need others
+
+    private void submit(JobSpec job) {
+        process.ask("POST", "/work", job.toJson(), 201);
+    }
+
+    private void chain() {
+        submit(job("wk-1", 2));
+        submit(job("wk-2", 2).after(List.of("wk-1")));
+        submit(job("wk-3", 1).after(List.of("wk-2", "wk-1")));
+    }
+
+    private List<String> startsOf(String job) {
+        return starts.stream().filter(task -> task.startsWith(job + "/")).toList();
+    }
+
+    /** Each waits for what it needs, also when the leader changes between an end and the next start. */
+    @ParameterizedTest
+    @CsvSource({"1000", "10", "26", "31", "52"})
+    void aChainRunsInOrder(double leaderEndsAfterS) throws InvalidField {
+        chain();
+        loop.pass(Math.min(leaderEndsAfterS, 20));
+        assertEquals(List.of(), startsOf("wk-2"));
+        assertEquals("pending", status("wk-2"));
+        for (double passed = 20; passed < 200; passed++) {
+            if (Math.abs(passed - Math.max(20, leaderEndsAfterS)) < 0.5) {
+                process.dead = true;
+                process = new Process("n-0");
+            }
+            loop.pass(1);
+            for (int n = 2; n <= 3; n++) {
+                assertTrue(startsOf("wk-" + n).isEmpty() || state.value("f/wk-" + (n - 1)) != null, starts.toString());
+            }
+        }
+        assertEquals("done", status("wk-3"));
+        assertEquals(5, starts.size(), starts.toString());
+    }
+
+    /** Whoever needs a cancelled job is told at once; its own end is written when there is time, and nothing starts. */
+    @Test
+    void aCancellationReachesAllThatNeedIt() {
+        chain();
+        loop.pass(10);
+        assertEquals("aborted", process.ask("POST", "/work/wk-1/cancel", null, 200).get("Status").asText());
+        assertEquals("aborted", status("wk-3"));
+        assertEquals("aborted", process.ask("POST", "/work", job("wk-4", 1).after(List.of("wk-3")).toJson(), 201)
+                .get("Status").asText(), "accepted all the same");
+        loop.pass(10);
+        for (int n = 1; n <= 4; n++) {
+            assertEquals("aborted", state.value("f/wk-" + n).get("State").asText());
+            assertTrue(state.value("j/wk-" + n) == null);
+        }
+        assertEquals(List.of("wk-1/0", "wk-1/1"), starts);
+    }
+
+    /** The end of a job was written, but its answer lost, or carried out late: what needs it waits for the state service. */
+    @ParameterizedTest
+    @CsvSource({"lost", "late"})
+    void nothingStartsOnAnEndThatIsNotConfirmed(String what) {
+        chain();
+        loop.pass(20);
+        if (what.equals("lost")) {
+            state.answerLost = (method, path) -> path.equals("/commit");
+        } else {
+            state.held = (method, path) -> path.equals("/commit");
+        }
+        loop.pass(15);
+        assertEquals(2, completed.size());
+        state.answerLost = (method, path) -> false;
+        state.held = (method, path) -> false;
+        assertEquals(what.equals("late"), state.value("f/wk-1") == null);
+        assertTrue(what.equals("lost") || startsOf("wk-2").isEmpty());
+        state.deliverLate();
+        loop.pass(100);
+        assertEquals("done", status("wk-3"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"null, 201", "[], 201", "[~wk-1~], 201", "[~wk-1~ ~wk-1~], 201", "[~wk-9~], 422", "[~wk-2~], 422",
+        "~wk-1~, 400", "[~nonsense~], 400", "[7], 400", "{}, 400"})
+    void checksWhichJobsAreNeeded(String needs, int status) {
+        submit(job("wk-1", 1));
+        ObjectNode body = job("wk-2", 1).toJson();
+        body.set("Awaits", Json.parse(needs.replace('~', '"').replace(' ', ',').getBytes()));
+        process.ask("POST", "/work", body, status);
+    }
+
+    @Test
+    void takesAsManyAsATransactionMayHaveGuards() {
+        state.txnOps = 8;
+        List<String> all = new ArrayList<>();
+        for (int n = 10; n < 41; n++) {
+            submit(job("wk-" + n, 1));
+            all.add("wk-" + n);
+        }
+        process.ask("POST", "/work", job("wk-1", 1).after(all).toJson(), 400);
+        submit(job("wk-1", 1).after(all.subList(0, 30)));
+        process.ask("POST", "/work", job("wk-1", 1).after(all).toJson(), 200);
+        assertEquals(0, state.malformed);
+    }
+
+    // The state service takes less from some moment on
+
+    /**
+     * Sizes keep to the smaller limits from the start, and what was written under the larger ones is read and split. A
+     * job with more tasks than a short value can tell of is not run again either.
+     */
+    @Test
+    void keepsToTheLimitsThatAreToCome() throws InvalidField {
+        ObjectNode unlimited = Samples.settingsJson();
+        unlimited.withObject("/cluster/teams/0").put("cpus_max", 0);
+        process.dead = true;
+        process = new Process("n-0", false, unlimited.deepCopy());
+        loop.pass(2);
+        for (int i = 0; i < 60; i++) {
+            submit(job("wk-" + i, 4));
+        }
+        loop.pass(15);
+        int machines = workers.size();
+        assertEquals(240, starts.size());
+        ObjectNode next = unlimited;
+        next.withObject("/cluster/state/next").put("value_kb", 1).put("txn_ops", 4).put("write_rps", 100);
+        process.dead = true;
+        process = new Process("n-0", false, next);
+        state.valueBytes = 1024;
+        state.txnOps = 4;
+        loop.pass(2);
+        submit(Samples.job("wk-100", "free", Priority.STANDARD, 12_000, 0.002));
+        loop.pass(RUN_S + 40);
+        for (int i = 0; i < 60; i++) {
+            assertEquals("done", status("wk-" + i));
+        }
+        assertTrue(machines >= 120, machines + " machines");
+        assertEquals(240, starts.stream().filter(task -> !task.startsWith("wk-100/")).count(), "none was started twice");
+        assertEquals(0, state.malformed);
+        assertEquals("done", status("wk-100"));
+    }
+
+    /** A refusal for the rate makes a node keep to the later rate; the leader keeps its part of that. */
+    @Test
+    void findsThatTheRateIsLower() throws InvalidField {
+        ObjectNode next = Samples.settingsJson();
+        next.withObject("/cluster/state/next").put("write_rps", 3);
+        process.dead = true;
+        process = new Process("n-0", false, next);
+        loop.pass(5);
+        int before = process.node.state().writable();
+        state.writeRps = 3;
+        for (int i = 0; i < 5; i++) {
+            process.node.handle(new Request("POST", "/work", Json.bytes(job("wk-" + i, 1).toJson())), (c, t, b, r) -> { });
+        }
+        loop.pass(10);
+        assertTrue(before > 100 && process.node.state().writable() <= 5, before + ", " + process.node.state().writable());
+        loop.pass(60);
+        assertEquals("done", status("wk-0"));
+    }
 }
--- a/src/test/java/org/saffronshore/control/PagesTest.java
+++ b/src/test/java/org/saffronshore/control/PagesTest.java
@@ -127,4 +127,27 @@
         assertTrue(write(pages));
         assertEquals(Map.of("host-1", 1L), stored());
     }
+
+    /** A page from a time when values could be longer is readable, and is split without an entry missing for a moment. */
+    @Test
+    void aPageThatHasBecomeTooLongIsSplit() {
+        Pages former = new Pages("r/", 1000, 2000);
+        for (int i = 0; i < 30; i++) {
+            former.put("host-" + i, LongNode.valueOf(i));
+        }
+        assertTrue(write(former));
+        service.valueBytes = 2 * MOST_BYTES;
+        state.list("r/", listing -> pages.read(listing.entries(), (name, value) -> { }));
+        loop.pass(1);
+        assertTrue(pages.splitting());
+        for (int i = 0; i < 20 && pages.splitting(); i++) {
+            write(pages);
+            assertEquals(30, stored().size());
+        }
+        assertFalse(pages.splitting());
+        write(pages);
+        assertEquals("{}", service.value("r/0").toString());
+        assertEquals(30, stored().size());
+        assertEquals(0, service.malformed);
+    }
 }
