--- /dev/null
+++ b/src/test/java/org/saffronshore/control/UpgradeTest.java
@@ -0,0 +1,124 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.Samples;
+import org.saffronshore.http.Request;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.Priority;
+
+/**
+ * Beside the version in production, and on its data. The samples have the form in which that version (the commit that
+ * deploy/service.toml names) was seen to write; it reads fields by name, and passes over what it does not know.
+ */
+class UpgradeTest extends World {
+    private static final String JOB = "{'At':1764645441000,'Spec':{'Uid':'wk-1','RouteKind':'class','Crew':'red',"
+            + "'Shape':'array','Urgency':'standard','Legs':4,'Cores':4.0,'Accelerators':0.0,'RamGb':1.0,'Kit':'image',"
+            + "'ImageGb':1.0,'SamePlace':false,'Spread':false,'Loaner':true,'EtaS':30.0,'WaypointS':0.0,'StashS':0.0}}";
+
+    private static JsonNode json(String text) {
+        return Json.parse(text.replace('\'', '"').getBytes());
+    }
+
+    /** What a term of the production version leaves behind: an open job of which two tasks are done, and ends. */
+    @BeforeEach
+    void productionWasHere() {
+        state.put("j/wk-1", json(JOB));
+        state.put("f/wk-2", json("{'State':'done'}"));
+        state.put("f/wk-3", json("{'State':'aborted'}"));
+        state.put("p/0", json("{'wk-1/0':'Aw=='}"));
+        state.put("b/0", json("{'wk-1':4}"));
+        state.put("r/0", json("{'host-7':{'At':1764645441000},'host-8':{'At':1764645441000,'Held':['wk-1/2']}}"));
+        state.put("t/term", json("{'Term':6,'Node':'n-1','Life':'1f'}"));
+        state.put("m/types", json("{'Rigs':[]}"));
+    }
+
+    private void newVersionStarts() throws InvalidField {
+        process = new Process("n-0");
+        loop.pass(2 * Samples.LEASE_S);
+    }
+
+    @Test
+    void goesOnWhereProductionStopped() throws InvalidField {
+        newVersionStarts();
+        assertTrue(process.node.leadership().term() > 6);
+        loop.pass(RUN_S + 10);
+        assertEquals(Set.of("wk-1/2", "wk-1/3"), new TreeSet<>(starts), "what was done is not run again");
+        assertEquals("done", process.ask("GET", "/work/wk-1", null, 200).get("Status").asText());
+    }
+
+    /** Ends of the production version say nothing of their time. */
+    @ParameterizedTest
+    @CsvSource({"wk-2, done", "wk-3, aborted"})
+    void jobsMayNeedWhatProductionEnded(String needed, String end) throws InvalidField {
+        newVersionStarts();
+        process.ask("POST", "/work", Samples.job("wk-4", "red", Priority.STANDARD, 1, 4).after(List.of(needed)).toJson(), 201);
+        loop.pass(RUN_S + 10);
+        assertEquals(end, process.ask("GET", "/work/wk-4", null, 200).get("Status").asText());
+    }
+
+    /** All that production reads of a record is in what is written now, under the same names and in the same form. */
+    @Test
+    void writesWhatProductionReads() throws InvalidField {
+        newVersionStarts();
+        JobSpec plain = Samples.job("wk-1", "red", Priority.STANDARD, 4, 4);
+        assertEquals(names(json(JOB).get("Spec")), names(plain.toJson()), "a job that needs no other is written as it was");
+        assertEquals(names(json(JOB)), names(state.value("j/wk-1")));
+        JsonNode end = org.saffronshore.state.JobStore.endRecord(org.saffronshore.state.JobStore.Status.DONE, 5);
+        assertEquals("done", end.get("State").asText());
+        state.value("p/0").forEach(bits -> assertTrue(bits.isTextual()));
+        state.value("b/0").forEach(reach -> assertTrue(reach.isInt()));
+        state.value("r/0").forEach(machine -> assertTrue(machine.get("At").isIntegralNumber()));
+        assertEquals(Set.of("Life", "Node", "Term"), names(state.value("l/leader")));
+        assertEquals(Set.of("Life", "Node", "Term"), names(state.value("t/term")));
+        assertNull(state.value("q/0"), "only where a job is too large for short values");
+    }
+
+    private static Set<String> names(JsonNode object) {
+        Set<String> all = new TreeSet<>();
+        object.fieldNames().forEachRemaining(all::add);
+        return all;
+    }
+
+    /** Greetings and votes of production are understood, and the answers have all that it looks at. */
+    @ParameterizedTest
+    @CsvSource({"/peer/hello, true", "/peer/hello, false", "/peer/vote, false"})
+    void talksWithProduction(String path, boolean leads) throws InvalidField {
+        process = new Process("n-0", true);
+        loop.pass(Samples.LEASE_S / 4);
+        ObjectNode message = Json.object().put("node", "n-1").put("life", "1f").put("n", 1).put("served", true)
+                .put("served_s", 0.01);
+        if (leads || path.equals("/peer/vote")) {
+            message.put("term", 7);
+        }
+        process.node.peers().handle(new Request("POST", path, Json.cbor(message)), (code, type, bytes, r) -> {
+            assertEquals(200, code);
+            JsonNode answer = Json.parseCbor(bytes);
+            assertTrue(answer.get("node").isTextual() && answer.get("life").isTextual() && answer.get("n").isIntegralNumber());
+            assertTrue(answer.get("served").isBoolean() && answer.get("served_s").isNumber() && answer.get("granted").isBoolean());
+            assertEquals(leads, answer.has("cancelled"), "only a leader is told, and production passes over it");
+        });
+    }
+
+    /** The answer of a production peer tells no cancellations: it does not count as one that has confirmed none. */
+    @Test
+    void aPeerThatTellsNothingIsNoWordOfAll() {
+        KnownCancellations known = new KnownCancellations(Samples.settings());
+        known.read(100);
+        known.told("n-1", 110, 0);
+        assertEquals(100, known.upTo());
+    }
+}
