Polls in quick succession share a request

Cause: of the refusals that were left all came in bursts at one controller (a debug log, no processor time charged): up to 90 polls in ten seconds against a share of 18 requests a second, while all controllers together asked for 21 of 150. Ruled out: the state service (0 refused), connections. Now jobs are asked for together, as many as a transaction may have guards, at most at half of the share.

--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -17,9 +17,12 @@
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Json;
 import org.saffronshore.wire.MachineType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What users ask of a node: to submit, to look, to cancel. Every node answers by itself. */
 final class UserApi {
+    private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
     /** The soonest that the protocol lets a refused user come back. */
     private static final int SOON_S = 1;
 
@@ -173,11 +176,13 @@
     }
 
     private void unsure(Reply reply) {
+        LOG.debug("refused: the state service does not answer, or the request budget is spent");
         metrics.add(Metrics.Count.REFUSED, 1);
         reply.later(503, "the state service does not answer", SOON_S);
     }
 
     void busy(Reply reply) {
+        LOG.debug("refused: overloaded");
         metrics.add(Metrics.Count.REFUSED, 1);
         reply.later(429, "too many requests", SOON_S);
     }
--- a/src/main/java/org/saffronshore/state/Budget.java
+++ b/src/main/java/org/saffronshore/state/Budget.java
@@ -41,6 +41,11 @@
         perSecond = newPerSecond;
     }
 
+    /** The share of this node. */
+    public double perSecond() {
+        return perSecond;
+    }
+
     /** How much a request of users may take now. */
     public double available() {
         fill();
--- a/src/main/java/org/saffronshore/state/JobStore.java
+++ b/src/main/java/org/saffronshore/state/JobStore.java
@@ -1,12 +1,9 @@
 package org.saffronshore.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Loop;
@@ -48,6 +45,7 @@
     private final JobCache cache = new JobCache();
     private final CancellationLog cancellations;
     private final JobReader reader;
+    private final OpenCheck openCheck;
     private final SubmissionQueue submissions;
     private Consumer<String> onCancelled = id -> { };
 
@@ -57,6 +55,7 @@
         this.mostGuards = Txn.mostGuards(settings);
         this.cancellations = new CancellationLog(loop, settings.cancelS());
         this.reader = new JobReader(state, cache, this::remember);
+        this.openCheck = new OpenCheck(loop, state, cache, settings);
         this.submissions = new SubmissionQueue(loop, state, cache, reader, settings);
     }
 
@@ -128,32 +127,14 @@
                 }
             });
         } else {
-            compare(new ArrayDeque<>(closure.open()), id, tries, then);
-        }
-    }
-
-    /** Asks whether all of these jobs are still open; as many at a time as a transaction may have guards. */
-    private void compare(ArrayDeque<String> open, String id, int tries, Consumer<Status> then) {
-        if (open.isEmpty()) {
-            then.accept(Status.OPEN);
-            return;
-        }
-        Txn txn = new Txn();
-        for (int i = 0; i < mostGuards && !open.isEmpty(); i++) {
-            String job = open.poll();
-            JobCache.JobRecord known = cache.record(job);
-            txn.guard(Keys.job(job), known == null ? -1 : known.version());
+            openCheck.ask(closure.open(), ended -> {
+                if (ended == null) {
+                    then.accept(Status.UNKNOWN);
+                } else {
+                    notOpen(ended, id, tries, then);
+                }
+            });
         }
-        state.commit(txn, false, answer -> {
-            Set<String> failed = StateClient.failedIds(answer);
-            if (answer.ok()) {
-                compare(open, id, tries, then);
-            } else if (answer.status() == 409 && !failed.isEmpty()) {
-                notOpen(failed, id, tries, then);
-            } else {
-                then.accept(Status.UNKNOWN);
-            }
-        });
     }
 
     /** Some of the jobs are not open any more: how they ended decides. */
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -92,6 +92,11 @@
         }
     }
 
+    /** How many requests in a second this node may make. */
+    public double requestShare() {
+        return requests.perSecond();
+    }
+
     /** How many changes users' requests may make now. */
     public int writable() {
         return (int) writes.available();
--- a/src/test/java/org/saffronshore/state/JobStoreTest.java
+++ b/src/test/java/org/saffronshore/state/JobStoreTest.java
@@ -344,4 +344,48 @@
             assertEquals(List.of(Accepted.UNKNOWN), told());
         }
     }
+
+    // Many questions at once
+
+    /** A burst of polls would spend the controller's share of the requests, were each of them one. */
+    @Test
+    void pollsInQuickSuccessionShareRequests() {
+        service.txnOps = Samples.settings().txnOps();
+        for (int n = 1; n <= 60; n++) {
+            service.put("j/wk-" + n, Json.object().set("Spec", (n % 2 == 0 ? job(n, "wk-1") : job(n)).toJson()));
+            assertEquals(Status.OPEN, look(there, n));
+        }
+        done(7);
+        here.cancel("wk-9", told::add);
+        told();
+        int before = service.log.size();
+        List<String> answers = new ArrayList<>();
+        for (int n = 1; n <= 60; n++) {
+            int job = n;
+            there.look("wk-" + n, status -> answers.add(job + " " + status));
+        }
+        loop.pass(1);
+        assertEquals(60, answers.size());
+        answers.removeIf(answer -> answer.endsWith(" OPEN"));
+        assertEquals(List.of("7 DONE", "9 CANCELLED"), answers.stream().sorted().toList());
+        assertTrue(service.log.size() - before <= 8, service.log.subList(before, service.log.size()).toString());
+        assertEquals(0, service.malformed);
+    }
+
+    @Test
+    void aBurstOfQuestionsIsRefusedWhenTheServiceIsAway() {
+        for (int n = 1; n <= 60; n++) {
+            service.put("j/wk-" + n, Json.object().set("Spec", job(n).toJson()));
+            assertEquals(Status.OPEN, look(there, n));
+        }
+        service.away = (method, path) -> true;
+        for (int n = 1; n <= 60; n++) {
+            there.look("wk-" + n, told::add);
+        }
+        loop.pass(1);
+        assertEquals(60, told.stream().filter(Status.UNKNOWN::equals).count());
+        service.away = (method, path) -> false;
+        told.clear();
+        assertEquals(Status.OPEN, look(there, 60));
+    }
 }
