A submission that cannot be written holds up none that shared its transaction

Should the state service take less than its announced limits, a 400 for one value refused the whole batch, again and again. Each of the batch is then written alone. Test seen to fail without it.

--- a/src/main/java/org/saffronshore/state/SubmissionQueue.java
+++ b/src/main/java/org/saffronshore/state/SubmissionQueue.java
@@ -34,6 +34,8 @@
         Set<String> proven = Set.of();
         /** Whether that is all that could be cancelled: if the commit succeeds, this job is not. */
         boolean complete;
+        /** The state service refused a transaction with this one and others as malformed: one of them is at fault. */
+        boolean alone;
 
         Submission(JobSpec job, JsonNode stored, Consumer<Accepted> then) {
             this.job = job;
@@ -139,7 +141,7 @@
         while (!waiting.isEmpty() && batch.size() < most) {
             Submission next = waiting.peek();
             prove(next);
-            boolean fits = bytes + next.bytes <= MOST_BYTES && guards + next.guards() <= mostGuards;
+            boolean fits = !next.alone && bytes + next.bytes <= MOST_BYTES && guards + next.guards() <= mostGuards;
             if (ids.contains(next.job.id()) || !batch.isEmpty() && !fits) {
                 break;
             }
@@ -147,6 +149,9 @@
             ids.add(next.job.id());
             bytes += next.bytes;
             guards += next.guards();
+            if (next.alone) {
+                break;
+            }
         }
         return batch;
     }
@@ -156,6 +161,14 @@
             refused(batch, StateClient.failedIds(answer));
             return;
         }
+        if (answer.status() == 400 && batch.size() > 1) {
+            Collections.reverse(batch);
+            for (Submission submission : batch) {
+                submission.alone = true;
+                waiting.addFirst(submission);
+            }
+            return;
+        }
         long version = answer.ok() && answer.json() != null ? Json.count(answer.json(), "Ledger", 0) : 0;
         for (Submission submission : batch) {
             if (answer.ok()) {
--- a/src/test/java/org/saffronshore/state/JobStoreTest.java
+++ b/src/test/java/org/saffronshore/state/JobStoreTest.java
@@ -135,6 +135,28 @@
         assertEquals(List.of(Status.CANCELLED, Status.CANCELLED), told());
     }
 
+    /** The state service takes less than was announced: what it refuses must not keep others from being accepted. */
+    @Test
+    void whatCannotBeWrittenHoldsUpNobodyElse() {
+        service.valueBytes = 600;
+        List<String> many = new ArrayList<>();
+        for (int n = 100; n < 200; n++) {
+            service.put("f/wk-" + n, JobStore.endRecord(Status.DONE, 1));
+            many.add("wk-" + n);
+        }
+        here.accept(job(50).after(many), 0, told::add);
+        told();
+        here.accept(job(1), 0, told::add);
+        for (int n = 2; n <= 5; n++) {
+            here.accept(n == 3 ? job(3).after(many) : job(n), 0, told::add);
+        }
+        List<Object> all = told();
+        assertEquals(4, all.stream().filter(Accepted.NEW::equals).count(), all.toString());
+        assertEquals(1, all.stream().filter(Accepted.UNKNOWN::equals).count(), all.toString());
+        assertEquals(Status.ABSENT, look(there, 3));
+        assertEquals(Status.OPEN, look(there, 5));
+    }
+
     @Test
     void refusesWhenItsShareOfTheRateIsSpent() {
         for (int i = 0; i < 2_000; i++) {
