--- a/src/main/java/org/saffronshore/control/Pages.java
+++ b/src/main/java/org/saffronshore/control/Pages.java
@@ -67,7 +67,7 @@
             Page page = new Page(e.key());
             page.version = e.version();
             pages.put(number, page);
-            e.value().fields().forEachRemaining(f -> {
+            e.value().properties().forEach(f -> {
                 add(page, f.getKey(), f.getValue());
                 each.accept(f.getKey(), f.getValue());
             });
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -128,7 +128,7 @@
         if (term >= progressTerm && hello.path("jobs").isObject()) {
             progressTerm = term;
             Map<String, Progress> all = new HashMap<>();
-            hello.get("jobs").fields().forEachRemaining(e -> all.put(e.getKey(),
+            hello.get("jobs").properties().forEach(e -> all.put(e.getKey(),
                     new Progress(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
             progress = all;
         }
--- a/src/test/java/org/saffronshore/control/World.java
+++ b/src/test/java/org/saffronshore/control/World.java
@@ -426,7 +426,7 @@
                     .filter(w -> w.id.equals(name.asText())).findFirst().ifPresent(this::dies));
         } else if (path.startsWith("/hosts?")) {
             ArrayNode all = answer.putArray("Cadres");
-            workers.values().forEach(w -> all.add(((ObjectNode) w.report.deepCopy())
+            workers.values().forEach(w -> all.add(w.report.deepCopy()
                     .put("Uid", w.id).put("Status", "running").put("HeldS", 5)));
         }
         return new Answer(200, Json.bytes(answer));
