--- a/src/test/java/org/saffronshore/wire/JobSpecTest.java
+++ b/src/test/java/org/saffronshore/wire/JobSpecTest.java
@@ -11,39 +11,49 @@
 
 class JobSpecTest {
 
-    /** A change to a good submission, as field and JSON value, and the field that the refusal must name. */
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
+  /**
+   * A change to a good submission, as field and JSON value, and the field that the refusal must
+   * name.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
         "Uid | 7 | Uid", "Uid | \"job-1\" | Uid", "Uid | \"wk-1/2\" | Uid", "Uid | null | Uid",
-        "Shape | \"ring\" | Shape", "Urgency | \"soon\" | Urgency", "Legs | 0 | Legs", "Legs | -1 | Legs",
+        "Shape | \"ring\" | Shape", "Urgency | \"soon\" | Urgency", "Legs | 0 | Legs",
+            "Legs | -1 | Legs",
         "Legs | 2.5 | Legs", "Legs | 100001 | Legs", "Legs | \"3\" | Legs", "Legs | 1e400 | Legs",
         "Cores | -0.5 | Cores", "RamGb | true | RamGb", "Rigs | \"g8\" | Rigs", "Rigs | [3] | Rigs",
-        "SamePlace | 1 | SamePlace", "CutoffS | -3 | CutoffS", "Kit | \"\" | Kit", "Crew | null | Crew"})
-    void refusesWhatIsInvalid(String field, String value, String named) {
-        ObjectNode body = Samples.job("wk-1", "red", Priority.URGENT, 3, 2).toJson();
-        body.set(field, Json.parse(value.getBytes()));
-        assertEquals(named, assertThrows(InvalidField.class, () -> JobSpec.parse(body)).field());
-    }
+        "SamePlace | 1 | SamePlace", "CutoffS | -3 | CutoffS", "Kit | \"\" | Kit",
+            "Crew | null | Crew"
+      })
+  void refusesWhatIsInvalid(String field, String value, String named) {
+    ObjectNode body = Samples.job("wk-1", "red", Priority.URGENT, 3, 2).toJson();
+    body.set(field, Json.parse(value.getBytes()));
+    assertEquals(named, assertThrows(InvalidField.class, () -> JobSpec.parse(body)).field());
+  }
 
-    @ParameterizedTest
-    @CsvSource({"Rigs", "Depot", "CutoffS"})
-    void takesNullAndOmittedAlike(String field) throws InvalidField {
-        ObjectNode body = Samples.job("wk-1", "red", Priority.IDLE, 3, 2).toJson();
-        body.remove(field);
-        JobSpec omitted = JobSpec.parse(body);
-        body.putNull(field);
-        assertEquals(omitted, JobSpec.parse(body));
-    }
+  @ParameterizedTest
+  @CsvSource({"Rigs", "Depot", "CutoffS"})
+  void takesNullAndOmittedAlike(String field) throws InvalidField {
+    ObjectNode body = Samples.job("wk-1", "red", Priority.IDLE, 3, 2).toJson();
+    body.remove(field);
+    JobSpec omitted = JobSpec.parse(body);
+    body.putNull(field);
+    assertEquals(omitted, JobSpec.parse(body));
+  }
 
-    @Test
-    void readsWhatItWrote() throws InvalidField {
-        JobSpec job = Samples.job("wk-000412", "red", Priority.CRITICAL, 100_000, 2.5);
-        assertEquals(job, JobSpec.parse(Json.parse(Json.bytes(job.toJson()))));
-    }
+  @Test
+  void readsWhatItWrote() throws InvalidField {
+    JobSpec job = Samples.job("wk-000412", "red", Priority.CRITICAL, 100_000, 2.5);
+    assertEquals(job, JobSpec.parse(Json.parse(Json.bytes(job.toJson()))));
+  }
 
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"{", "[1] x", "''", "{} {}"})
-    void knowsWhatIsNotJson(String text) {
-        assertEquals(null, Json.parse(text.getBytes()));
-    }
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {"{", "[1] x", "''", "{} {}"})
+  void knowsWhatIsNotJson(String text) {
+    assertEquals(null, Json.parse(text.getBytes()));
+  }
 }
