--- a/src/main/java/org/saffronshore/admin/Metrics.java
+++ b/src/main/java/org/saffronshore/admin/Metrics.java
@@ -52,7 +52,7 @@
 
   private static final String PREFIX = "saffronshore.";
   private static final double[] QUANTILES = {0.5, 0.9, 0.99, 1.0};
-  private static final long MOST_MICROS = 60_000_000L;
+  private static final long MAX_MICROS = 60_000_000L;
 
   private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
   private final Map<Latency, Histogram> latencies = new EnumMap<>(Latency.class);
@@ -64,7 +64,7 @@
       counts.put(c, new long[1]);
     }
     for (Latency l : Latency.values()) {
-      latencies.put(l, new Histogram(MOST_MICROS, 2));
+      latencies.put(l, new Histogram(MAX_MICROS, 2));
     }
   }
 
@@ -77,7 +77,7 @@
   }
 
   public void took(Latency latency, double seconds) {
-    latencies.get(latency).recordValue(Math.min(MOST_MICROS, Math.max(0, (long) (seconds * 1e6))));
+    latencies.get(latency).recordValue(Math.min(MAX_MICROS, Math.max(0, (long) (seconds * 1e6))));
   }
 
   public void gauge(String name, DoubleSupplier value) {
--- a/src/main/java/org/saffronshore/admin/OperatorSettings.java
+++ b/src/main/java/org/saffronshore/admin/OperatorSettings.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import org.saffronshore.scheduling.Tuning;
+import org.saffronshore.scheduling.SchedulingSettings;
 import org.saffronshore.wire.Fields;
 import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.Json;
@@ -14,11 +14,12 @@
  * What operators set at run time: the cycle's tuning, and teams' weights where they differ from the
  * guarantees.
  */
-public record OperatorSettings(Tuning tuning, Map<String, Double> teamWeights) {
-  public static final OperatorSettings START = new OperatorSettings(Tuning.START, Map.of());
+public record OperatorSettings(SchedulingSettings tuning, Map<String, Double> teamWeights) {
+  public static final OperatorSettings START =
+      new OperatorSettings(SchedulingSettings.START, Map.of());
   private static final Set<String> KNOWN =
       Set.of("period_s", "eviction_probability", "gpu_weight", "memory_weight", "team_weights");
-  private static final double MOST = 1e6;
+  private static final double MAX = 1e6;
 
   /**
    * Reads settings; a field that is left out keeps its starting value, one that is not known is an
@@ -32,13 +33,13 @@
         throw new InvalidField(name, "is not a setting");
       }
     }
-    Tuning start = Tuning.START;
-    Tuning tuning =
-        new Tuning(
+    SchedulingSettings start = SchedulingSettings.START;
+    SchedulingSettings tuning =
+        new SchedulingSettings(
             f.number("period_s", 0.1, 3600, start.periodS()),
             f.number("eviction_probability", 0, 1, start.evictionProbability()),
-            f.number("gpu_weight", 0, MOST, start.gpuWeight()),
-            f.number("memory_weight", 0, MOST, start.memoryWeight()));
+            f.number("gpu_weight", 0, MAX, start.gpuWeight()),
+            f.number("memory_weight", 0, MAX, start.memoryWeight()));
     Map<String, Double> weights = new TreeMap<>();
     if (f.has("team_weights")) {
       Fields w = f.object("team_weights");
@@ -47,7 +48,7 @@
         if (!teams.contains(team)) {
           throw new InvalidField("team_weights." + team, "is not a team");
         }
-        weights.put(team, w.number(team, 1e-3, MOST));
+        weights.put(team, w.number(team, 1e-3, MAX));
       }
     }
     return new OperatorSettings(tuning, Map.copyOf(weights));
--- a/src/main/java/org/saffronshore/cli/RehearseCommand.java
+++ b/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
@@ -17,10 +17,10 @@
  * classes that a start needs.
  */
 @Command(
-    name = "rehearse",
+    name = "train-cds",
     hidden = true,
     description = "Runs for a moment, for the build to archive classes.")
-final class RehearseCommand implements Callable<Integer> {
+final class CdsTrainingCommand implements Callable<Integer> {
   private static final long WHILE_MS = 1_500;
 
   @Override
@@ -28,7 +28,7 @@
     int port = freePort();
     int peerPort = freePort();
     Settings settings;
-    try (InputStream in = RehearseCommand.class.getResourceAsStream("rehearsal.json")) {
+    try (InputStream in = CdsTrainingCommand.class.getResourceAsStream("cds-training.json")) {
       String text =
           new String(in.readAllBytes())
               .replace("${port}", "" + port)
@@ -72,35 +72,35 @@
     for (String name :
         new String[] {
           "cluster.Cluster",
-          "cluster.Cluster$Call",
-          "cluster.Calls",
+          "cluster.Cluster$CommandBatch",
+          "cluster.CommandDispatcher",
           "cluster.Views",
           "cluster.RunTimes",
-          "cluster.Roster",
-          "cluster.Hearing",
+          "cluster.MachineRegistry",
+          "cluster.UnresponsiveMachineDetector",
           "cluster.Machine",
           "cluster.Job",
           "cluster.Attempt",
           "cluster.Attempt$State",
           "control.Leader",
-          "control.FleetKeeper",
-          "control.JobFeed",
-          "control.Records",
-          "control.Pages",
-          "control.Pages$Batch",
-          "scheduling.Failures",
+          "control.Autoscaler",
+          "control.JobWatcher",
+          "control.TermStore",
+          "control.PagedRecords",
+          "control.PagedRecords$Batch",
+          "scheduling.FailedPlacements",
           "fleet.Forecast",
           "fleet.Forecast$Line",
-          "fleet.Displaced",
+          "fleet.DisplacedTasks",
           "scheduling.Cycle",
           "scheduling.Plan",
           "scheduling.Host",
-          "scheduling.Pending",
+          "scheduling.PendingJob",
           "scheduling.Team",
-          "scheduling.Room",
-          "scheduling.Slot",
-          "fleet.FleetPlan",
-          "fleet.Kind",
+          "scheduling.Resources",
+          "scheduling.HostedTask",
+          "fleet.RentalPlan",
+          "fleet.MachineKind",
           "wire.Report",
           "wire.Command",
           "wire.TaskId",
@@ -111,7 +111,8 @@
       try {
         Class.forName("org.saffronshore." + name);
       } catch (ClassNotFoundException e) {
-        throw new IllegalStateException("the rehearsal names a class that is gone: " + name, e);
+        throw new IllegalStateException(
+            "class-data-sharing training names an unknown class: " + name, e);
       }
     }
   }
--- a/src/main/java/org/saffronshore/cli/Main.java
+++ b/src/main/java/org/saffronshore/cli/Main.java
@@ -13,7 +13,7 @@
     description = "A cluster scheduler that rents its machines and survives failures.",
     mixinStandardHelpOptions = true,
     versionProvider = Main.Version.class,
-    subcommands = {ControllerCommand.class, RehearseCommand.class})
+    subcommands = {ControllerCommand.class, CdsTrainingCommand.class})
 public final class Main implements Callable<Integer> {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
--- a/src/main/java/org/saffronshore/cloud/CloudClient.java
+++ b/src/main/java/org/saffronshore/cloud/CloudClient.java
@@ -5,17 +5,17 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Collection;
 import org.saffronshore.config.Settings;
-import org.saffronshore.fleet.Kind;
+import org.saffronshore.fleet.MachineKind;
 import org.saffronshore.http.Answer;
 import org.saffronshore.http.Client;
 import org.saffronshore.http.Loop;
-import org.saffronshore.state.Budget;
+import org.saffronshore.state.RateLimiter;
 import org.saffronshore.wire.Json;
 
 /** The cloud as the controllers use it. A node that does not lead asks for machine types only. */
 public final class CloudClient {
-  public static final int MOST_RETURNED = 100;
-  public static final int MOST_RENTED = 50;
+  public static final int MAX_RETURNED = 100;
+  public static final int MAX_RENTED = 50;
   public static final int PAGE = 500;
   private static final double TIMEOUT_S = 5;
 
@@ -25,13 +25,13 @@
   private final Loop loop;
   private final Client client;
   private final Settings settings;
-  private final Budget budget;
+  private final RateLimiter budget;
 
   public CloudClient(Loop loop, Client client, Settings settings) {
     this.loop = loop;
     this.client = client;
     this.settings = settings;
-    this.budget = new Budget(loop, settings.cloudRps() * SHARE, 2);
+    this.budget = new RateLimiter(loop, settings.cloudRps() * SHARE, 2);
   }
 
   private void send(
@@ -58,7 +58,7 @@
   }
 
   /** Rents machines. The name makes a repeat harmless, and must never be used for anything else. */
-  public void rent(String name, Kind kind, int count, Answer.Receiver then) {
+  public void rent(String name, MachineKind kind, int count, Answer.Receiver then) {
     ObjectNode body =
         Json.object()
             .put("Hire", name)
@@ -69,7 +69,7 @@
     send("POST", "/hosts", body, true, then);
   }
 
-  public void giveBack(Collection<String> machines, Answer.Receiver then) {
+  public void returnMachines(Collection<String> machines, Answer.Receiver then) {
     ObjectNode body = Json.object();
     ArrayNode names = body.putArray("Cadres");
     machines.forEach(names::add);
--- a/src/main/java/org/saffronshore/cluster/Attempt.java
+++ b/src/main/java/org/saffronshore/cluster/Attempt.java
@@ -40,7 +40,7 @@
   int inFlight;
 
   /** A launch was lost: it may arrive at any time as long as token and session match. */
-  boolean loose;
+  boolean deliveryUnknown;
 
   double runningSince = Double.NaN;
 
@@ -96,6 +96,6 @@
    * anew.
    */
   boolean launchMayArrive() {
-    return loose || inFlight > 0;
+    return deliveryUnknown || inFlight > 0;
   }
 }
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -11,14 +11,14 @@
 import org.saffronshore.config.Settings;
 import org.saffronshore.config.Settings.Address;
 import org.saffronshore.fleet.Arrivals;
-import org.saffronshore.fleet.Displaced;
+import org.saffronshore.fleet.DisplacedTasks;
 import org.saffronshore.fleet.Forecast;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Host;
-import org.saffronshore.scheduling.Pending;
-import org.saffronshore.scheduling.Room;
+import org.saffronshore.scheduling.PendingJob;
+import org.saffronshore.scheduling.Resources;
+import org.saffronshore.scheduling.SchedulingSettings;
 import org.saffronshore.scheduling.Team;
-import org.saffronshore.scheduling.Tuning;
 import org.saffronshore.wire.Command;
 import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.JobSpec;
@@ -43,7 +43,7 @@
   static final int TERM_SHIFT = 24;
 
   /** A machine that fails this many tasks in a row is not trusted any more. */
-  public static final int STRIKES = 2;
+  public static final int MAX_CONSECUTIVE_FAILURES = 2;
 
   /** A machine counts as silent when it has let this many reports be missed. */
   private static final double MISSED_REPORTS = 1.4;
@@ -70,26 +70,26 @@
   private final Map<String, Machine> machines = new LinkedHashMap<>();
 
   /** Since when machines are gone; the longest ago first. */
-  private final Map<String, Double> gone = new LinkedHashMap<>();
+  private final Map<String, Double> removed = new LinkedHashMap<>();
 
   private Map<String, MachineType> types = Map.of();
 
   /** Machines that may hold tasks of earlier terms and have not been heard in this one. */
-  private final Set<Machine> unsettled = new LinkedHashSet<>();
+  private final Set<Machine> unconfirmed = new LinkedHashSet<>();
 
   private final RunTimes runs = new RunTimes();
   private final Arrivals arrivals;
   private long lastAttempt;
   private boolean changed;
-  private final Calls calls;
+  private final CommandDispatcher dispatcher;
   private final Views views;
   private final Reports reports;
   private final Dependencies dependencies = new Dependencies();
   private final Set<Job> unsaved = new LinkedHashSet<>();
   private final Set<Job> complete = new LinkedHashSet<>();
-  private final Set<Job> reaching = new LinkedHashSet<>();
-  private final Roster roster;
-  private final Hearing hearing;
+  private final Set<Job> awaitingLaunchMark = new LinkedHashSet<>();
+  private final MachineRegistry registry;
+  private final UnresponsiveMachineDetector unresponsiveMachines;
 
   public Cluster(Loop loop, Settings settings, long term, long termVersion) {
     this.loop = loop;
@@ -99,11 +99,11 @@
     this.startedAt = loop.now();
     this.awakeSince = startedAt;
     this.arrivals = new Arrivals(RATE_LEASES * settings.leaseS());
-    this.calls = new Calls(this, loop, settings);
+    this.dispatcher = new CommandDispatcher(this, loop, settings);
     this.views = new Views(this, loop, settings);
     this.reports = new Reports(this, loop, settings);
-    this.roster = new Roster(this, loop);
-    this.hearing = new Hearing(this, loop, settings);
+    this.registry = new MachineRegistry(this, loop);
+    this.unresponsiveMachines = new UnresponsiveMachineDetector(this, loop, settings);
   }
 
   public long term() {
@@ -132,13 +132,13 @@
   }
 
   /** Which machines the next leader must know of. */
-  public Roster roster() {
-    return roster;
+  public MachineRegistry registry() {
+    return registry;
   }
 
   /** Which machines hear nothing of what they are told. */
-  public Hearing hearing() {
-    return hearing;
+  public UnresponsiveMachineDetector unresponsiveMachines() {
+    return unresponsiveMachines;
   }
 
   /** Something has happened that may let a task be placed. */
@@ -146,12 +146,12 @@
     changed = true;
   }
 
-  void callDue(Machine m) {
-    calls.due(m);
+  void commandsDue(Machine m) {
+    dispatcher.due(m);
   }
 
-  boolean needsCall(Machine m) {
-    return calls.needsCall(m);
+  boolean hasCommands(Machine m) {
+    return dispatcher.hasCommands(m);
   }
 
   RunTimes runs() {
@@ -174,20 +174,20 @@
     return jobs.get(id);
   }
 
-  public boolean isGone(String machine) {
-    return gone.containsKey(machine);
+  public boolean isRemoved(String machine) {
+    return removed.containsKey(machine);
   }
 
-  public boolean isUnsettled(Machine m) {
-    return unsettled.contains(m);
+  public boolean isUnconfirmed(Machine m) {
+    return unconfirmed.contains(m);
   }
 
-  Set<Machine> unsettled() {
-    return unsettled;
+  Set<Machine> unconfirmed() {
+    return unconfirmed;
   }
 
-  public int unsettledCount() {
-    return unsettled.size();
+  public int unconfirmedCount() {
+    return unconfirmed.size();
   }
 
   /** Whether anything happened since the last call that may let a task be placed. */
@@ -198,8 +198,8 @@
   }
 
   /** A machine that may have commands waiting, or null. */
-  public Machine nextToCall() {
-    return calls.next();
+  public Machine nextMachineWithCommands() {
+    return dispatcher.next();
   }
 
   /** Jobs with finished tasks that the state service does not know of yet. */
@@ -208,17 +208,17 @@
   }
 
   /** Jobs with tasks that are placed, and go out once it is written down that they may have. */
-  public Set<Job> reaching() {
-    return reaching;
+  public Set<Job> awaitingLaunchMark() {
+    return awaitingLaunchMark;
   }
 
   /** The state service knows that tasks of the job up to this one may have been launched. */
-  public void reached(Job job, int reach) {
-    job.reach = Math.max(job.reach, reach);
-    if (job.reach >= job.wantedReach) {
-      reaching.remove(job);
+  public void launchMarkSaved(Job job, int launchMark) {
+    job.launchMark = Math.max(job.launchMark, launchMark);
+    if (job.launchMark >= job.wantedLaunchMark) {
+      awaitingLaunchMark.remove(job);
     }
-    job.placed.values().forEach(a -> calls.due(a.machine));
+    job.placed.values().forEach(a -> dispatcher.due(a.machine));
   }
 
   /** Open jobs whose tasks are all finished. */
@@ -231,11 +231,11 @@
   /**
    * @param reach no task from this one on was ever launched
    */
-  public void addJob(JobSpec spec, long version, long submittedMs, BitSet done, int reach) {
+  public void addJob(JobSpec spec, long version, long submittedMs, BitSet done, int launchMark) {
     if (jobs.containsKey(spec.id())) {
       return;
     }
-    Job job = new Job(spec, version, submittedMs, done, reach);
+    Job job = new Job(spec, version, submittedMs, done, launchMark);
     jobs.put(spec.id(), job);
     dependencies.add(spec.id(), spec.priority(), spec.dependencies());
     if (spec.dependencies().isEmpty()) {
@@ -304,7 +304,7 @@
     prioritize();
     unsaved.remove(job);
     complete.remove(job);
-    reaching.remove(job);
+    awaitingLaunchMark.remove(job);
     for (Attempt a : new ArrayList<>(job.placed.values())) {
       stop(a, 0, "its job is over");
     }
@@ -337,22 +337,22 @@
    *
    * @param held all that it can hold, or null when that may be anything
    */
-  public void addRoster(String id, double ageS, Set<TaskId> held) {
+  public void addRegistered(String id, double ageS, Set<TaskId> held) {
     Machine m = known(id);
-    m.inRoster = held == null;
+    m.registered = held == null;
     m.frozen = held != null;
-    m.rosterBusy = true;
+    m.registryWriteInFlight = true;
     m.held = held;
     m.knownSince = Math.min(m.knownSince, loop.now() - Math.max(0, ageS));
-    if (!m.settled) {
+    if (!m.confirmed) {
       m.answeredAt = Math.max(m.answeredAt, startedAt);
-      unsettled.add(m);
-      calls.due(m);
+      unconfirmed.add(m);
+      dispatcher.due(m);
     }
   }
 
   public void rented(String id, String type, String zone, boolean spot, double requestedAt) {
-    if (gone.containsKey(id)) {
+    if (removed.containsKey(id)) {
       return;
     }
     Machine m = known(id);
@@ -371,7 +371,7 @@
       boolean spot,
       boolean failed,
       double ageS) {
-    if (gone.containsKey(id)) {
+    if (removed.containsKey(id)) {
       return;
     }
     Machine m = machines.get(id);
@@ -389,8 +389,8 @@
     m.zone = zone;
     m.spot = spot;
     setAddress(m, address);
-    if (isUnsettled(m) && !m.up) {
-      calls.due(m);
+    if (isUnconfirmed(m) && !m.up) {
+      dispatcher.due(m);
     }
     if (failed && !m.failed) {
       // A failed machine has stopped of its own accord: nothing on it runs, now or later.
@@ -407,31 +407,31 @@
    */
   public void listedOnly(Set<String> ids, double requestedAt) {
     double before =
-        requestedAt - Settings.stretched(2.25 * settings.listLagS() + settings.reportS());
+        requestedAt - Settings.longestLocalTime(2.25 * settings.listLagS() + settings.reportS());
     for (Machine m : new ArrayList<>(machines.values())) {
       if (!ids.contains(m.id) && m.knownSince < before) {
-        gone(m, "the cloud does not list it any more");
+        removed(m, "the cloud does not list it any more");
       }
     }
   }
 
   /** The machine does not exist any more, and nothing on it. */
-  public void gone(Machine m, String why) {
+  public void removed(Machine m, String why) {
     LOG.debug("machine {} is gone: {}; it held {} tasks", m.id, why, m.attempts.size());
     release(m);
     machines.remove(m.id);
-    gone.put(m.id, loop.now());
-    roster.gone(m);
-    gone.values().removeIf(since -> since < loop.now() - GONE_LEASES * settings.leaseS());
+    removed.put(m.id, loop.now());
+    registry.removed(m);
+    removed.values().removeIf(since -> since < loop.now() - GONE_LEASES * settings.leaseS());
   }
 
   private void release(Machine m) {
     for (Attempt a : m.allAttempts()) {
-      over(a);
+      endAttempt(a);
     }
     m.exited.clear();
     m.idleSince = loop.now();
-    unsettled.remove(m);
+    unconfirmed.remove(m);
     changed = true;
   }
 
@@ -447,9 +447,12 @@
   public void expireLeases() {
     double now = loop.now();
     for (Machine m : machines.values()) {
-      boolean mayHold = m.up || unsettled.contains(m);
-      if (mayHold
-          && now > m.answeredAt + Settings.stretched(settings.leaseS()) + settings.reportS() / 30) {
+      boolean addPossiblyHeld = m.up || unconfirmed.contains(m);
+      if (addPossiblyHeld
+          && now
+              > m.answeredAt
+                  + Settings.longestLocalTime(settings.leaseS())
+                  + settings.reportS() / 30) {
         LOG.debug(
             "machine {} counts as lost: nothing heard, and its lease is over; it held {} tasks",
             m.id,
@@ -468,7 +471,7 @@
    */
   public void stoodStill() {
     awakeSince = loop.now();
-    machines.values().forEach(m -> m.quietSince = awakeSince);
+    machines.values().forEach(m -> m.ownReportAt = awakeSince);
   }
 
   double awakeSince() {
@@ -482,7 +485,7 @@
     for (Machine m : machines.values()) {
       if (m.up) {
         up++;
-        silent += loop.now() > m.quietSince + forS ? 1 : 0;
+        silent += loop.now() > m.ownReportAt + forS ? 1 : 0;
       }
     }
     return silent * 2 > up;
@@ -513,7 +516,7 @@
   /**
    * Nothing of the attempt runs or can come to run: the task may be placed again unless it is done.
    */
-  void over(Attempt a) {
+  void endAttempt(Attempt a) {
     Machine m = a.machine;
     m.changed();
     m.attempts.remove(a.task, a);
@@ -547,10 +550,10 @@
     m.idleSince = Double.POSITIVE_INFINITY;
     reports.useImage(m, a);
     if (job.launchable(task.index())) {
-      calls.due(m);
+      dispatcher.due(m);
     } else {
-      job.wantReach(task.index());
-      reaching.add(job);
+      job.requestLaunchMark(task.index());
+      awaitingLaunchMark.add(job);
     }
   }
 
@@ -574,9 +577,9 @@
     a.graceS = graceS;
     a.stopSentAt = Double.NEGATIVE_INFINITY;
     if (a.state == Attempt.State.SENDING && !a.sent) {
-      over(a);
+      endAttempt(a);
     } else {
-      calls.due(a.machine);
+      dispatcher.due(a.machine);
     }
   }
 
@@ -602,7 +605,7 @@
    * Whether everything on a machine saves its work, has run for a while and will run on, and may go
    * anywhere.
    */
-  public boolean movable(Machine m, double leastRunS) {
+  public boolean movable(Machine m, double minRunS) {
     double now = loop.now();
     if (m.empty() || !m.usable(now)) {
       return false;
@@ -612,7 +615,7 @@
       if (!free
           || a.stopping
           || a.state != Attempt.State.RUNNING
-          || now < a.runningSince + leastRunS
+          || now < a.runningSince + minRunS
           || runs.remainingS(a, now) < 4 * a.job.saveS()) {
         return false;
       }
@@ -643,22 +646,22 @@
   // Calls
 
   /** A direct call that is ready to go, with the launches in it. */
-  public record Call(
+  public record CommandBatch(
       Machine machine, long session, List<Command> commands, List<Attempt> launches) {}
 
   /** What to send to a machine now, or null. */
-  public Call call(Machine m) {
-    return calls.call(m);
+  public CommandBatch call(Machine m) {
+    return dispatcher.call(m);
   }
 
   /** What became of a call: 200, 409, not sent, or anything else, which may yet be carried out. */
-  public void called(Call call, boolean executed, boolean surelyNot, Report report) {
-    calls.called(call, executed, surelyNot, report);
+  public void called(CommandBatch call, boolean executed, boolean surelyNot, Report report) {
+    dispatcher.called(call, executed, surelyNot, report);
   }
 
   /** Machines whose calls failed and may be tried again. */
-  public void retryCalls() {
-    calls.retry();
+  public void retryCommands() {
+    dispatcher.retry();
   }
 
   /**
@@ -666,7 +669,7 @@
    * is in doubt.
    */
   public List<Command> responseCommands(Machine m) {
-    return calls.responseCommands(m);
+    return dispatcher.responseCommands(m);
   }
 
   // Views
@@ -676,7 +679,7 @@
    * this term.
    */
   boolean mayBeUnseen(Job job) {
-    return !unsettled.isEmpty() && job.version < termVersion;
+    return !unconfirmed.isEmpty() && job.version < termVersion;
   }
 
   /**
@@ -685,7 +688,7 @@
    */
   boolean zoneUnseen(Job job) {
     return mayBeUnseen(job)
-        && unsettled.stream()
+        && unconfirmed.stream()
             .anyMatch(
                 m ->
                     m.held == null
@@ -700,14 +703,14 @@
    * down.
    */
   boolean anythingUnseen() {
-    return unsettled.stream().anyMatch(m -> m.held == null);
+    return unconfirmed.stream().anyMatch(m -> m.held == null);
   }
 
   public String summary() {
     return views.summary();
   }
 
-  public Room freeOn(Machine m) {
+  public Resources freeOn(Machine m) {
     return views.freeOn(m);
   }
 
@@ -715,7 +718,7 @@
     return views.lines(lateBoot, released);
   }
 
-  public List<Displaced.Running> runningOn(Set<String> someTypes) {
+  public List<DisplacedTasks.Running> runningOn(Set<String> someTypes) {
     return views.runningOn(someTypes);
   }
 
@@ -727,11 +730,11 @@
    * @param written whether it can be written down that more tasks may be launched; if not, they
    *     have to wait
    */
-  public List<Pending> pending(boolean written) {
+  public List<PendingJob> pending(boolean written) {
     return views.pending(written);
   }
 
-  public Map<String, Team> teams(Tuning tuning, Map<String, Double> weights) {
+  public Map<String, Team> teams(SchedulingSettings tuning, Map<String, Double> weights) {
     return views.teams(tuning, weights);
   }
 }
--- a/src/main/java/org/saffronshore/cluster/Calls.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
@@ -14,15 +14,15 @@
  * straight to the worker; the answers to its reports carry the rest, and what could not be
  * delivered.
  */
-final class Calls {
-  private static final int MOST_COMMANDS = 400;
+final class CommandDispatcher {
+  private static final int MAX_COMMANDS = 400;
 
   private final Cluster cluster;
   private final Loop loop;
   private final Settings settings;
   private final Set<Machine> waiting = new LinkedHashSet<>();
 
-  Calls(Cluster cluster, Loop loop, Settings settings) {
+  CommandDispatcher(Cluster cluster, Loop loop, Settings settings) {
     this.cluster = cluster;
     this.loop = loop;
     this.settings = settings;
@@ -44,8 +44,8 @@
     return m;
   }
 
-  boolean needsCall(Machine m) {
-    if (!m.settled || m.deaf) {
+  boolean hasCommands(Machine m) {
+    if (!m.confirmed || m.unresponsive) {
       return true;
     }
     for (Attempt a : m.attempts.values()) {
@@ -68,60 +68,60 @@
   }
 
   /** What to send to a machine now, or null. */
-  Cluster.Call call(Machine m) {
+  Cluster.CommandBatch call(Machine m) {
     double now = loop.now();
     // One that has not found this leader yet is asked where it is: tasks of older jobs wait for
     // what it holds.
-    boolean unheard = !m.up && cluster.isUnsettled(m);
+    boolean unheard = !m.up && cluster.isUnconfirmed(m);
     if (cluster.machine(m.id) != m
-        || m.calling
+        || m.commandInFlight
         || m.address == null
-        || now < m.callAfter
-        || !needsCall(m)
+        || now < m.nextCommandAt
+        || !hasCommands(m)
         || !unheard && (!m.up || m.silent(now))) {
       return null;
     }
     List<Command> commands = new ArrayList<>();
     List<Attempt> launches = new ArrayList<>();
-    if (m.settled) {
+    if (m.confirmed) {
       commands(m, commands, launches, true);
     }
     for (Attempt a : launches) {
       a.sent = true;
       a.inFlight++;
     }
-    m.calling = true;
+    m.commandInFlight = true;
     // A wrong guess of the session is harmless: nothing is executed, and the refusal tells the
     // right one.
-    return new Cluster.Call(m, Math.max(1, m.session), commands, launches);
+    return new Cluster.CommandBatch(m, Math.max(1, m.session), commands, launches);
   }
 
   /** What became of a call: 200, 409, not sent, or anything else, which may yet be carried out. */
-  void called(Cluster.Call call, boolean executed, boolean surelyNot, Report report) {
+  void called(Cluster.CommandBatch call, boolean executed, boolean surelyNot, Report report) {
     Machine m = call.machine();
-    m.calling = false;
+    m.commandInFlight = false;
     m.changed();
     for (Attempt a : call.launches()) {
       a.inFlight--;
       if (!executed && !surelyNot) {
-        a.loose = true;
+        a.deliveryUnknown = true;
       }
       if (surelyNot && a.state == Attempt.State.SENDING && !a.launchMayArrive()) {
         a.sent = false;
         if (a.stopping && m.attempts.get(a.task) == a) {
-          cluster.over(a);
+          cluster.endAttempt(a);
         }
       }
     }
     if (report != null) {
-      cluster.hearing().hears(m);
+      cluster.unresponsiveMachines().markResponsive(m);
       cluster.answered(m, report);
     }
     if (executed || surelyNot && report != null) {
-      m.failedCalls = 0;
+      m.failedCommands = 0;
     } else {
-      m.failedCalls = Math.min(m.failedCalls + 1, 5);
-      m.callAfter = loop.now() + settings.reportS() / 6 * m.failedCalls;
+      m.failedCommands = Math.min(m.failedCommands + 1, 5);
+      m.nextCommandAt = loop.now() + settings.reportS() / 6 * m.failedCommands;
     }
     for (Attempt a : call.launches()) {
       // Executed, or refused, and yet the worker does not show it: it is not there.
@@ -129,10 +129,10 @@
           && a.state == Attempt.State.SENDING
           && !a.launchMayArrive()
           && m.attempts.get(a.task) == a) {
-        cluster.over(a);
+        cluster.endAttempt(a);
       }
     }
-    if (cluster.machine(m.id) == m && needsCall(m)) {
+    if (cluster.machine(m.id) == m && hasCommands(m)) {
       waiting.add(m);
     }
   }
@@ -140,7 +140,7 @@
   /** Machines whose calls failed and may be tried again. */
   void retry() {
     for (Machine m : cluster.machines()) {
-      if (m.up && !m.calling && needsCall(m)) {
+      if (m.up && !m.commandInFlight && hasCommands(m)) {
         waiting.add(m);
       }
     }
@@ -152,7 +152,7 @@
    */
   List<Command> responseCommands(Machine m) {
     List<Command> commands = new ArrayList<>();
-    if (m.settled) {
+    if (m.confirmed) {
       commands(m, commands, new ArrayList<>(), false);
     }
     return commands;
@@ -160,20 +160,20 @@
 
   private void commands(Machine m, List<Command> commands, List<Attempt> launches, boolean direct) {
     for (Attempt a : m.attempts.values()) {
-      if (commands.size() >= MOST_COMMANDS) {
+      if (commands.size() >= MAX_COMMANDS) {
         return;
       }
       boolean sending = a.state == Attempt.State.SENDING;
       if (sending && !launchDue(a)) {
         continue;
       }
-      if (sending && !direct && m.failedCalls > 0 && a.inFlight == 0) {
+      if (sending && !direct && m.failedCommands > 0 && a.inFlight == 0) {
         // The worker reaches us, perhaps through a peer, and we do not reach it: its reports take
         // launches.
         a.sent = true;
-        a.loose = true;
+        a.deliveryUnknown = true;
       }
-      if (sending && (direct ? a.inFlight == 0 : a.loose)) {
+      if (sending && (direct ? a.inFlight == 0 : a.deliveryUnknown)) {
         // A launch that is in doubt is repeated until the worker shows it, also when it is not
         // wanted any
         // more: a worker that knows the attempt is over will not start it when the lost copy
@@ -189,7 +189,7 @@
       }
     }
     for (Attempt a : m.exited.values()) {
-      if (commands.size() >= MOST_COMMANDS) {
+      if (commands.size() >= MAX_COMMANDS) {
         return;
       }
       Job job = cluster.job(a.task.job());
--- a/src/main/java/org/saffronshore/cluster/Job.java
+++ b/src/main/java/org/saffronshore/cluster/Job.java
@@ -33,13 +33,13 @@
   final BitSet waiting = new BitSet();
 
   /** No task from this one on was launched before this term. */
-  final int inheritedReach;
+  final int inheritedLaunchMark;
 
   /** Tasks below this one may be launched: the state service knows that they may have been. */
-  int reach;
+  int launchMark;
 
   /** The same once what is asked for now is written down. */
-  int wantedReach;
+  int wantedLaunchMark;
 
   final Map<Integer, Attempt> placed = new HashMap<>();
 
@@ -60,14 +60,14 @@
   int backOffs;
   boolean saving;
 
-  Job(JobSpec spec, long version, long submittedMs, BitSet done, int reach) {
+  Job(JobSpec spec, long version, long submittedMs, BitSet done, int launchMark) {
     this.spec = spec;
     this.version = version;
     this.submittedMs = submittedMs;
     this.done = done;
-    this.inheritedReach = reach;
-    this.reach = reach;
-    this.wantedReach = reach;
+    this.inheritedLaunchMark = launchMark;
+    this.launchMark = launchMark;
+    this.wantedLaunchMark = launchMark;
     this.saved = (BitSet) done.clone();
     waiting.set(0, spec.tasks());
     waiting.andNot(done);
@@ -115,28 +115,28 @@
 
   /** Whether a task may be launched, or whether it must first be written down that it may be. */
   boolean launchable(int index) {
-    return index < reach;
+    return index < launchMark;
   }
 
   /**
    * Asks for the reach that a task needs; twice what there is at the least, so that a job needs few
    * writes.
    */
-  void wantReach(int index) {
-    if (index >= wantedReach) {
-      wantedReach = Math.min(spec.tasks(), Math.max(index + 1, 2 * reach));
+  void requestLaunchMark(int index) {
+    if (index >= wantedLaunchMark) {
+      wantedLaunchMark = Math.min(spec.tasks(), Math.max(index + 1, 2 * launchMark));
     }
   }
 
   /** How far it is to be written down that its tasks may have been launched. */
-  public int wantedReach() {
-    return wantedReach;
+  public int wantedLaunchMark() {
+    return wantedLaunchMark;
   }
 
   /** Waiting tasks that an earlier leader may have launched. */
   BitSet launchedBefore() {
     BitSet all = (BitSet) waiting.clone();
-    all.clear(Math.min(inheritedReach, spec.tasks()), spec.tasks());
+    all.clear(Math.min(inheritedLaunchMark, spec.tasks()), spec.tasks());
     return all;
   }
 
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.config.Settings.Address;
-import org.saffronshore.fleet.Kind;
+import org.saffronshore.fleet.MachineKind;
 import org.saffronshore.scheduling.Host;
 import org.saffronshore.wire.Report;
 import org.saffronshore.wire.TaskId;
@@ -27,7 +27,7 @@
    * Whether its worker has shown that it knows this leader's token, which shuts earlier leaders
    * out.
    */
-  boolean settled;
+  boolean confirmed;
 
   long session;
   long seq = -1;
@@ -53,12 +53,12 @@
    * From when its silence counts: its last own report, its first answer, or when this node could
    * hear again after a standstill.
    */
-  double quietSince = Double.NEGATIVE_INFINITY;
+  double ownReportAt = Double.NEGATIVE_INFINITY;
 
   /** Its reports come, but nothing that it is told seems to arrive. */
-  boolean deaf;
+  boolean unresponsive;
 
-  double deafSince;
+  double unresponsiveSince;
 
   /** When the machine was first known to exist. */
   double knownSince;
@@ -73,7 +73,7 @@
   /** Its tasks are moved elsewhere, so that it can be returned. */
   boolean draining;
 
-  boolean inRoster;
+  boolean registered;
 
   /** Its place in the roster says, or is to say, what it holds: it gets nothing new. */
   boolean frozen;
@@ -81,12 +81,12 @@
   /** All that an earlier leader can have left on it, or null when that may be anything. */
   Set<TaskId> held;
 
-  boolean rosterBusy;
-  int strikes;
+  boolean registryWriteInFlight;
+  int consecutiveFailures;
   double suspendedUntil = Double.NEGATIVE_INFINITY;
-  boolean calling;
-  int failedCalls;
-  double callAfter = Double.NEGATIVE_INFINITY;
+  boolean commandInFlight;
+  int failedCommands;
+  double nextCommandAt = Double.NEGATIVE_INFINITY;
   final Map<TaskId, Attempt> attempts = new LinkedHashMap<>();
 
   /** Attempts that are over but still in the worker's reports. */
@@ -115,8 +115,8 @@
     return id;
   }
 
-  public Kind kind() {
-    return new Kind(type, zone, spot);
+  public MachineKind kind() {
+    return new MachineKind(type, zone, spot);
   }
 
   public String type() {
@@ -139,8 +139,8 @@
     return up;
   }
 
-  public boolean settled() {
-    return settled;
+  public boolean confirmed() {
+    return confirmed;
   }
 
   public boolean returning() {
@@ -165,7 +165,7 @@
 
   /** Whether it failed too many tasks in a row to be given more. */
   public boolean distrusted() {
-    return strikes >= Cluster.STRIKES;
+    return consecutiveFailures >= Cluster.MAX_CONSECUTIVE_FAILURES;
   }
 
   public boolean everUp() {
@@ -195,8 +195,8 @@
   /** Whether new tasks may be put here. */
   public boolean usable(double now) {
     return up
-        && settled
-        && inRoster
+        && confirmed
+        && registered
         && !returning
         && !draining
         && !failed
@@ -204,13 +204,13 @@
         && !distrusted()
         && now >= suspendedUntil
         && !silent(now)
-        && !deaf
+        && !unresponsive
         && !unknownLoad();
   }
 
   /** Whether reports that were due have not come: it may hang, or be cut off. */
   boolean silent(double now) {
-    return now > quietSince + silentAfterS;
+    return now > ownReportAt + silentAfterS;
   }
 
   private boolean unknownLoad() {
--- a/src/main/java/org/saffronshore/cluster/Roster.java
+++ b/src/main/java/org/saffronshore/cluster/MachineRegistry.java
@@ -10,14 +10,14 @@
  * What is to be written down about machines for the next leader. A machine gets tasks only while it
  * is known to stand there as one that may hold anything.
  */
-public final class Roster {
+public final class MachineRegistry {
   private final Cluster cluster;
   private final Loop loop;
   private final Set<Machine> missing = new LinkedHashSet<>();
   private final Set<Machine> toFreeze = new LinkedHashSet<>();
   private final Set<String> left = new LinkedHashSet<>();
 
-  Roster(Cluster cluster, Loop loop) {
+  MachineRegistry(Cluster cluster, Loop loop) {
     this.cluster = cluster;
     this.loop = loop;
   }
@@ -28,8 +28,8 @@
     missing.add(m);
   }
 
-  void gone(Machine m) {
-    if (m.inRoster || m.rosterBusy) {
+  void removed(Machine m) {
+    if (m.registered || m.registryWriteInFlight) {
       left.add(m.id);
     }
   }
@@ -51,17 +51,17 @@
   public void freezeSilent() {
     double now = loop.now();
     for (Machine m : cluster.machines()) {
-      if (m.up && m.settled && m.inRoster && m.silent(now)) {
-        m.inRoster = false;
+      if (m.up && m.confirmed && m.registered && m.silent(now)) {
+        m.registered = false;
         m.frozen = true;
-        m.rosterBusy = true;
+        m.registryWriteInFlight = true;
         toFreeze.add(m);
       }
     }
   }
 
   /** Machines of which it is to be written down what they hold. */
-  public List<Machine> takeFrozen() {
+  public List<Machine> takeFrozenMachines() {
     List<Machine> all =
         toFreeze.stream().filter(m -> m.frozen && cluster.machine(m.id) == m).toList();
     toFreeze.clear();
@@ -71,14 +71,14 @@
   /** Machines that are ready for tasks but for their place. */
   public List<Machine> missing() {
     missing.removeIf(m -> cluster.machine(m.id) != m);
-    missing.forEach(m -> m.rosterBusy = true);
+    missing.forEach(m -> m.registryWriteInFlight = true);
     return new ArrayList<>(missing);
   }
 
   /** The state service has confirmed their places. */
   public void entered(List<Machine> added) {
     for (Machine m : added) {
-      m.inRoster = true;
+      m.registered = true;
       missing.remove(m);
     }
     cluster.changed();
--- a/src/main/java/org/saffronshore/cluster/Reports.java
+++ b/src/main/java/org/saffronshore/cluster/Reports.java
@@ -32,7 +32,7 @@
 
   /** Takes a report that the worker sent by itself, and that is going to be answered with 200. */
   Machine reported(Report r) {
-    if (cluster.isGone(r.machine())) {
+    if (cluster.isRemoved(r.machine())) {
       return null;
     }
     Machine m = cluster.known(r.machine());
@@ -53,7 +53,7 @@
     if (r.session() > m.deadSession && r.newerThan(m.reportSession, m.reportSeq)) {
       m.reportSession = r.session();
       m.reportSeq = r.seq();
-      m.quietSince = now;
+      m.ownReportAt = now;
     }
     apply(m, r);
     return m;
@@ -65,8 +65,8 @@
       // A worker that reaches no controller still answers calls. That does not make it one to rely
       // on: its lease
       // runs out. So only the first answer counts, of a machine that is about to find this leader.
-      if (m.quietSince == Double.NEGATIVE_INFINITY) {
-        m.quietSince = loop.now();
+      if (m.ownReportAt == Double.NEGATIVE_INFINITY) {
+        m.ownReportAt = loop.now();
       }
       apply(m, r);
     }
@@ -82,13 +82,15 @@
         LOG.debug("machine {} began session {}: what it held is gone", m.id, r.session());
       }
       for (Attempt a : m.allAttempts()) {
-        cluster.over(a);
+        cluster.endAttempt(a);
       }
       m.exited.clear();
       m.changed();
       // Its lease ran out although its reports were answered: it may not hear us.
-      if (m.session > 0 && now < m.answeredBefore + Settings.shrunk(settings.leaseS()) && !m.deaf) {
-        cluster.hearing().suspect(m);
+      if (m.session > 0
+          && now < m.answeredBefore + Settings.shortestLocalTime(settings.leaseS())
+          && !m.unresponsive) {
+        cluster.unresponsiveMachines().markUnresponsive(m);
       }
       m.session = r.session();
       // Whatever the machine was told last, a session that is new here may have begun a moment ago,
@@ -120,17 +122,17 @@
       }
       m.noticeUntil = now + r.noticeS();
     }
-    boolean settledNow = !m.settled && r.token() >= cluster.term();
-    if (settledNow) {
-      cluster.hearing().hears(m);
+    boolean confirmedNow = !m.confirmed && r.token() >= cluster.term();
+    if (confirmedNow) {
+      cluster.unresponsiveMachines().markResponsive(m);
     }
-    if ((m.settled || settledNow) && !m.inRoster) {
-      cluster.roster().enter(m);
+    if ((m.confirmed || confirmedNow) && !m.registered) {
+      cluster.registry().enter(m);
     }
     // Most reports say nothing new, and there are hundreds in a second.
-    if (!settledNow && !noticedNow && r.tasks().equals(m.applied)) {
-      if (cluster.needsCall(m)) {
-        cluster.callDue(m);
+    if (!confirmedNow && !noticedNow && r.tasks().equals(m.applied)) {
+      if (cluster.hasCommands(m)) {
+        cluster.commandsDue(m);
       }
       return;
     }
@@ -142,7 +144,7 @@
     }
     for (Attempt a : m.allAttempts()) {
       if (!seen.contains(a.task) && (a.state != Attempt.State.SENDING)) {
-        cluster.over(a);
+        cluster.endAttempt(a);
       }
     }
     m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
@@ -150,19 +152,19 @@
     if (noticedNow) {
       cluster.drain(m, r.noticeS());
     }
-    if (settledNow) {
-      m.settled = true;
-      cluster.unsettled().remove(m);
+    if (confirmedNow) {
+      m.confirmed = true;
+      cluster.unconfirmed().remove(m);
       cluster.changed();
     }
-    if (m.settled) {
+    if (m.confirmed) {
       stopDuplicates(m);
     }
     if (m.attempts.isEmpty() != Double.isFinite(m.idleSince)) {
       m.idleSince = m.attempts.isEmpty() ? now : Double.POSITIVE_INFINITY;
     }
-    if (cluster.needsCall(m)) {
-      cluster.callDue(m);
+    if (cluster.hasCommands(m)) {
+      cluster.commandsDue(m);
     }
   }
 
@@ -183,7 +185,7 @@
       adopt(a, inRange ? job : null);
     }
     if (a.state == Attempt.State.SENDING) {
-      cluster.hearing().hears(m);
+      cluster.unresponsiveMachines().markResponsive(m);
     }
     switch (t.state()) {
       case FETCHING -> a.state = Attempt.State.FETCHING;
@@ -243,8 +245,8 @@
       Attempt placed = job.placed.get(a.task.index());
       for (Attempt o : job.attemptsAt(a.task.index())) {
         if (o != placed
-            && o.machine.settled
-            && placed.machine.settled
+            && o.machine.confirmed
+            && placed.machine.confirmed
             && !o.stopping
             && !placed.stopping) {
           LOG.warn(
@@ -280,9 +282,9 @@
       }
       job.failedOn.clear();
       job.backOffs = 0;
-      m.strikes = 0;
+      m.consecutiveFailures = 0;
     }
-    cluster.over(a);
+    cluster.endAttempt(a);
     if (mine && why == Report.Why.ERROR && !wasStopping && job != null) {
       failure(m, job, a);
     } else if (mine
@@ -306,8 +308,9 @@
       LOG.info("job {} failed on {} machines: backing off", job.spec.id(), job.failedOn.size());
       return;
     }
-    m.strikes++;
-    m.suspendedUntil = loop.now() + settings.reportS() * 2 * m.strikes;
-    LOG.debug("task {} failed on {}; failures there in a row: {}", a.task, m.id, m.strikes);
+    m.consecutiveFailures++;
+    m.suspendedUntil = loop.now() + settings.reportS() * 2 * m.consecutiveFailures;
+    LOG.debug(
+        "task {} failed on {}; failures there in a row: {}", a.task, m.id, m.consecutiveFailures);
   }
 }
--- a/src/main/java/org/saffronshore/cluster/Hearing.java
+++ b/src/main/java/org/saffronshore/cluster/UnresponsiveMachineDetector.java
@@ -6,20 +6,20 @@
 import org.slf4j.LoggerFactory;
 
 /** Finds the machines that are heard and yet hear nothing. */
-public final class Hearing {
-  private static final Logger LOG = LoggerFactory.getLogger(Hearing.class);
+public final class UnresponsiveMachineDetector {
+  private static final Logger LOG = LoggerFactory.getLogger(UnresponsiveMachineDetector.class);
 
   /** A machine that shows no sign of having heard us for so many reports counts as deaf. */
-  private static final double DEAF_REPORTS = 3;
+  private static final double UNRESPONSIVE_REPORTS = 3;
 
   /** When more than this share of the machines seem deaf, it is this node that is not heard. */
-  private static final double DEAF_SHARE = 0.05;
+  private static final double UNRESPONSIVE_SHARE = 0.05;
 
   private final Cluster cluster;
   private final Loop loop;
   private final Settings settings;
 
-  Hearing(Cluster cluster, Loop loop, Settings settings) {
+  UnresponsiveMachineDetector(Cluster cluster, Loop loop, Settings settings) {
     this.cluster = cluster;
     this.loop = loop;
     this.settings = settings;
@@ -34,22 +34,22 @@
    * they may have known it, and a launch of theirs may still arrive there as long as the machine
    * has not seen our token. So that is not relied on.
    */
-  public void find() {
+  public void detect() {
     double now = loop.now();
-    double patience = DEAF_REPORTS * settings.reportS();
+    double patience = UNRESPONSIVE_REPORTS * settings.reportS();
     for (Machine m : cluster.machines()) {
-      if (!m.up || m.deaf || m.silent(now)) {
+      if (!m.up || m.unresponsive || m.silent(now)) {
         continue;
       }
-      boolean untold = !m.settled && since(m.firstAnsweredAt) > patience;
-      if (untold
+      boolean unconfirmedTooLong = !m.confirmed && since(m.firstAnsweredAt) > patience;
+      if (unconfirmedTooLong
           || m.attempts.values().stream()
               .anyMatch(
                   a ->
                       a.state == Attempt.State.SENDING
-                          && a.loose
+                          && a.deliveryUnknown
                           && since(a.placedAt) > patience)) {
-        suspect(m);
+        markUnresponsive(m);
       }
     }
   }
@@ -59,19 +59,19 @@
     return loop.now() - Math.max(moment, cluster.awakeSince());
   }
 
-  void suspect(Machine m) {
+  void markUnresponsive(Machine m) {
     LOG.debug("machine {} does not seem to hear us", m.id);
-    m.deaf = true;
-    m.deafSince = loop.now();
+    m.unresponsive = true;
+    m.unresponsiveSince = loop.now();
     m.changed();
     cluster.changed();
-    cluster.callDue(m);
+    cluster.commandsDue(m);
   }
 
   /** There is proof that something we said has reached the machine. */
-  void hears(Machine m) {
-    if (m.deaf) {
-      m.deaf = false;
+  void markResponsive(Machine m) {
+    if (m.unresponsive) {
+      m.unresponsive = false;
       cluster.changed();
     }
   }
@@ -80,11 +80,11 @@
    * Whether a machine has not heard us for so long that it is of no use. Should many seem deaf,
    * then it is we who cannot be heard, and the machines are not to blame.
    */
-  public boolean useless(Machine m) {
-    if (!m.deaf || since(m.deafSince) < 2 * settings.reportS()) {
+  public boolean isUnusable(Machine m) {
+    if (!m.unresponsive || since(m.unresponsiveSince) < 2 * settings.reportS()) {
       return false;
     }
-    long deaf = cluster.machines().stream().filter(other -> other.deaf).count();
-    return deaf <= Math.max(2, cluster.machines().size() * DEAF_SHARE);
+    long unresponsive = cluster.machines().stream().filter(other -> other.unresponsive).count();
+    return unresponsive <= Math.max(2, cluster.machines().size() * UNRESPONSIVE_SHARE);
   }
 }
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -8,16 +8,16 @@
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.config.Settings;
-import org.saffronshore.fleet.Displaced;
+import org.saffronshore.fleet.DisplacedTasks;
 import org.saffronshore.fleet.Forecast;
-import org.saffronshore.fleet.Kind;
+import org.saffronshore.fleet.MachineKind;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Host;
-import org.saffronshore.scheduling.Pending;
-import org.saffronshore.scheduling.Room;
-import org.saffronshore.scheduling.Slot;
+import org.saffronshore.scheduling.HostedTask;
+import org.saffronshore.scheduling.PendingJob;
+import org.saffronshore.scheduling.Resources;
+import org.saffronshore.scheduling.SchedulingSettings;
 import org.saffronshore.scheduling.Team;
-import org.saffronshore.scheduling.Tuning;
 import org.saffronshore.wire.MachineType;
 import org.saffronshore.wire.TaskId;
 
@@ -69,7 +69,7 @@
         + " up, "
         + coming
         + " coming or lost, "
-        + cluster.unsettledCount()
+        + cluster.unconfirmedCount()
         + " unaccounted), CPUs "
         + Math.round(total)
         + " up, "
@@ -88,12 +88,12 @@
   }
 
   /** What is free on a machine now, or null when nothing may be put there. */
-  Room freeOn(Machine m) {
+  Resources freeOn(Machine m) {
     MachineType type = cluster.typeOf(m);
     if (type == null || !m.usable(loop.now())) {
       return null;
     }
-    Room room = Room.of(type);
+    Resources room = Resources.of(type);
     for (Attempt a : m.attempts.values()) {
       room.take(a.job);
     }
@@ -115,12 +115,12 @@
           || m.returning
           || m.noticed()
           || m.distrusted()
-          || m.deaf
-          || m.up && !m.settled && m.silent(now)) {
+          || m.unresponsive
+          || m.up && !m.confirmed && m.silent(now)) {
         continue;
       }
-      Kind kind = m.kind();
-      Room room = Room.of(type);
+      MachineKind kind = m.kind();
+      Resources room = Resources.of(type);
       if (m.up) {
         Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
         for (Attempt a : m.attempts.values()) {
@@ -140,8 +140,8 @@
   }
 
   /** How many tasks of each job there are on machines of some types. */
-  List<Displaced.Running> runningOn(Set<String> types) {
-    Map<String, Map<String, Displaced.Running>> all = new HashMap<>();
+  List<DisplacedTasks.Running> runningOn(Set<String> types) {
+    Map<String, Map<String, DisplacedTasks.Running>> all = new HashMap<>();
     for (Machine m : cluster.machines()) {
       if (m.up && types.contains(m.type)) {
         for (Attempt a : m.attempts.values()) {
@@ -149,13 +149,13 @@
             all.computeIfAbsent(m.type, t -> new LinkedHashMap<>())
                 .merge(
                     a.job.id(),
-                    new Displaced.Running(m.type, a.job, 1),
-                    (r, one) -> new Displaced.Running(r.type(), r.job(), r.tasks() + 1));
+                    new DisplacedTasks.Running(m.type, a.job, 1),
+                    (r, one) -> new DisplacedTasks.Running(r.type(), r.job(), r.tasks() + 1));
           }
         }
       }
     }
-    List<Displaced.Running> list = new ArrayList<>();
+    List<DisplacedTasks.Running> list = new ArrayList<>();
     all.values().forEach(jobs -> list.addAll(jobs.values()));
     return list;
   }
@@ -170,9 +170,9 @@
         continue;
       }
       if (m.host == null || m.host.touched()) {
-        m.host = new Host(m.id, m.kind(), Room.of(type), m::barred, m.images());
+        m.host = new Host(m.id, m.kind(), Resources.of(type), m::barred, m.images());
         for (Attempt a : m.attempts.values()) {
-          m.host.add(new Slot(a.task, a.job, a.stopping, a.runningSince, a.overdue));
+          m.host.add(new HostedTask(a.task, a.job, a.stopping, a.runningSince, a.overdue));
         }
       }
       hosts.add(m.host);
@@ -187,7 +187,7 @@
       waiting.andNot(job.launchedBefore());
       return waiting;
     }
-    for (Machine m : cluster.unsettled()) {
+    for (Machine m : cluster.unconfirmed()) {
       for (TaskId task : m.held) {
         if (task.job().equals(job.spec.id())) {
           waiting.clear(task.index());
@@ -197,9 +197,9 @@
     return waiting;
   }
 
-  List<Pending> pending(boolean written) {
+  List<PendingJob> pending(boolean written) {
     double now = loop.now();
-    List<Pending> all = new ArrayList<>();
+    List<PendingJob> all = new ArrayList<>();
     boolean anything = cluster.anythingUnseen();
     for (Job job : cluster.jobs()) {
       boolean older = cluster.mayBeUnseen(job);
@@ -208,13 +208,13 @@
       }
       BitSet waiting = older ? seen(job, anything) : job.waiting;
       if (!written) {
-        waiting = waiting.get(0, Math.min(job.reach, job.spec.tasks()));
+        waiting = waiting.get(0, Math.min(job.launchMark, job.spec.tasks()));
       }
       if (waiting.isEmpty()) {
         continue;
       }
       Map<String, Integer> perZone = Map.of();
-      if (Pending.zonesMatter(job.spec)) {
+      if (PendingJob.zonesMatter(job.spec)) {
         if (cluster.zoneUnseen(job)) {
           continue;
         }
@@ -226,7 +226,7 @@
           perZone.merge(a.machine.zone, 1, Integer::sum);
         }
       }
-      Pending pending = new Pending(job.spec, job.version, waiting, perZone);
+      PendingJob pending = new PendingJob(job.spec, job.version, waiting, perZone);
       boolean waitsLong = job.waitedS(loop.wallMs()) > PATIENCE_LEASES * settings.leaseS();
       all.add(
           waitsLong && !job.begun && job.done.isEmpty() && job.placed.isEmpty()
@@ -237,14 +237,14 @@
   }
 
   /** Teams with what their tasks use or may be using; {@code weights} are the operators' own. */
-  Map<String, Team> teams(Tuning tuning, Map<String, Double> weights) {
+  Map<String, Team> teams(SchedulingSettings tuning, Map<String, Double> weights) {
     Map<String, Team> teams = new HashMap<>();
     for (Settings.Team t : settings.teams().values()) {
       double guarantee = t.cpus() + t.gpus();
       teams.put(
           t.name(), new Team(t, weights.getOrDefault(t.name(), guarantee > 0 ? guarantee : 1.0)));
     }
-    Room beside = new Room(0, 0, 0);
+    Resources beside = new Resources(0, 0, 0);
     for (Machine m : cluster.machines()) {
       boolean named = true;
       for (Attempt a : m.attempts.values()) {
@@ -266,9 +266,9 @@
    * What tasks of jobs that are over can take on a machine: no report says whose they are, or how
    * large.
    */
-  private Room beside(Machine m) {
+  private Resources beside(Machine m) {
     MachineType type = cluster.typeOf(m);
-    Room room = type == null ? new Room(0, 0, 0) : Room.of(type);
+    Resources room = type == null ? new Resources(0, 0, 0) : Resources.of(type);
     m.attempts.values().stream().filter(a -> a.job != null).forEach(a -> room.take(a.job));
     return room;
   }
@@ -278,35 +278,35 @@
    * far as they were launched; the rest may be tasks of any team whose jobs were cancelled a moment
    * ago, unless it is written down what a machine holds, and all of that is of open jobs.
    */
-  private void countUnseen(Map<String, Team> teams, Room beside) {
-    Room all = new Room(0, 0, 0);
-    Room unnamed = new Room(0, 0, 0);
-    for (Machine m : cluster.unsettled()) {
+  private void countUnseen(Map<String, Team> teams, Resources beside) {
+    Resources all = new Resources(0, 0, 0);
+    Resources unnamed = new Resources(0, 0, 0);
+    for (Machine m : cluster.unconfirmed()) {
       boolean named =
           m.held != null && m.held.stream().allMatch(task -> cluster.job(task.job()) != null);
       MachineType type = cluster.typeOf(m);
       for (MachineType t : type != null ? List.of(type) : List.copyOf(cluster.types().values())) {
-        all.give(Room.of(t));
+        all.give(Resources.of(t));
         if (!named) {
-          unnamed.give(Room.of(t));
+          unnamed.give(Resources.of(t));
         }
       }
     }
-    Map<String, Room> launched = new HashMap<>();
+    Map<String, Resources> launched = new HashMap<>();
     for (Job job : cluster.jobs()) {
       if (cluster.mayBeUnseen(job)) {
         launched
-            .computeIfAbsent(job.spec.team(), t -> new Room(0, 0, 0))
+            .computeIfAbsent(job.spec.team(), t -> new Resources(0, 0, 0))
             .give(job.spec, job.launchedBefore().cardinality());
       }
     }
     teams.forEach(
         (name, team) -> {
-          Room open = launched.getOrDefault(name, new Room(0, 0, 0));
+          Resources open = launched.getOrDefault(name, new Resources(0, 0, 0));
           double cpus = Math.min(all.cpus, open.cpus);
           double gpus = Math.min(all.gpus, open.gpus);
-          team.maybe(cpus, gpus);
-          team.mayHold(
+          team.addPossible(cpus, gpus);
+          team.addPossiblyHeld(
               beside.cpus + Math.max(0, unnamed.cpus - cpus),
               beside.gpus + Math.max(0, unnamed.gpus - gpus));
         });
--- a/src/main/java/org/saffronshore/config/Settings.java
+++ b/src/main/java/org/saffronshore/config/Settings.java
@@ -33,8 +33,8 @@
     double cancelS,
     double stateRps,
     double stateWriteRps,
-    double laterStateRps,
-    double laterStateWriteRps,
+    double nextStateRps,
+    double nextStateWriteRps,
     double valueKb,
     int txnOps,
     double cloudRps,
@@ -47,8 +47,8 @@
   /** The steady clocks of two machines may run apart by this share of the time that passes. */
   public static final double DRIFT = 0.0005;
 
-  private static final double MOST = 1e9;
-  private static final int MOST_TXN_OPS = 1_000_000;
+  private static final double MAX = 1e9;
+  private static final int MAX_TXN_OPS = 1_000_000;
 
   public record Address(String host, int port) {
     public static Address parse(String field, String text) throws InvalidField {
@@ -89,14 +89,14 @@
   /**
    * The longest that a time of ours, measured on another machine's clock, can last on this one's.
    */
-  public static double stretched(double seconds) {
+  public static double longestLocalTime(double seconds) {
     return seconds * (1 + 2 * DRIFT);
   }
 
   /**
    * The shortest that a time of ours, measured on another machine's clock, can last on this one's.
    */
-  public static double shrunk(double seconds) {
+  public static double shortestLocalTime(double seconds) {
     return seconds * (1 - 2 * DRIFT);
   }
 
@@ -108,10 +108,10 @@
     Fields state = cluster.object("state");
     Fields next =
         state.has("next") ? state.object("next") : new Fields(Json.object(), "cluster.state.next");
-    double rps = state.number("rps", 1, MOST);
-    double writeRps = state.number("write_rps", 1, MOST);
-    double valueKb = state.number("value_kb", 1, MOST);
-    int txnOps = (int) state.count("txn_ops", 2, MOST_TXN_OPS);
+    double rps = state.number("rps", 1, MAX);
+    double writeRps = state.number("write_rps", 1, MAX);
+    double valueKb = state.number("value_kb", 1, MAX);
+    int txnOps = (int) state.count("txn_ops", 2, MAX_TXN_OPS);
     Fields cloud = cluster.object("cloud");
     Fields limits = cluster.object("limits");
     List<Peer> peers = new ArrayList<>();
@@ -127,10 +127,10 @@
       Team team =
           new Team(
               t.text("name"),
-              t.number("cpus", 0, MOST, 0),
-              t.number("cpus_max", 0, MOST, 0),
-              t.number("gpus", 0, MOST, 0),
-              t.number("gpus_max", 0, MOST, 0));
+              t.number("cpus", 0, MAX, 0),
+              t.number("cpus_max", 0, MAX, 0),
+              t.number("gpus", 0, MAX, 0),
+              t.number("gpus_max", 0, MAX, 0));
       if (teams.put(team.name(), team) != null) {
         throw new InvalidField(t.path() + ".name", "is there twice");
       }
@@ -143,8 +143,8 @@
                 o.text("kind"),
                 o.textOrNull("class"),
                 o.number("share", 0, 1, 0),
-                o.number("times", 0, MOST, 1),
-                o.number("within_s", 0, MOST, 0)));
+                o.number("times", 0, MAX, 1),
+                o.number("within_s", 0, MAX, 0)));
       }
     }
     List<String> zones = cluster.textsOrNull("zones");
@@ -159,22 +159,22 @@
         zones == null ? List.of() : zones,
         teams,
         List.copyOf(objectives),
-        workers.number("report_s", 0.01, MOST),
-        workers.number("lease_s", 0.1, MOST),
-        workers.number("cancel_s", 0.1, MOST),
+        workers.number("report_s", 0.01, MAX),
+        workers.number("lease_s", 0.1, MAX),
+        workers.number("cancel_s", 0.1, MAX),
         rps,
         writeRps,
-        next.number("rps", 1, MOST, rps),
-        next.number("write_rps", 1, MOST, writeRps),
-        Math.min(valueKb, next.number("value_kb", 1, MOST, valueKb)),
+        next.number("rps", 1, MAX, rps),
+        next.number("write_rps", 1, MAX, writeRps),
+        Math.min(valueKb, next.number("value_kb", 1, MAX, valueKb)),
         next.has("txn_ops")
-            ? Math.min(txnOps, (int) next.count("txn_ops", 2, MOST_TXN_OPS))
+            ? Math.min(txnOps, (int) next.count("txn_ops", 2, MAX_TXN_OPS))
             : txnOps,
-        cloud.number("rps", 0.01, MOST),
-        cloud.number("list_lag_s", 0, MOST),
-        limits.number("core_share", 0.001, MOST, 1),
-        limits.number("memory_mb", 1, MOST, 256),
-        (int) limits.number("sockets", 16, MOST, 1024),
-        cluster.number("clock_off_ms", 0, MOST, MOST) / 1000);
+        cloud.number("rps", 0.01, MAX),
+        cloud.number("list_lag_s", 0, MAX),
+        limits.number("core_share", 0.001, MAX, 1),
+        limits.number("memory_mb", 1, MAX, 256),
+        (int) limits.number("sockets", 16, MAX, 1024),
+        cluster.number("clock_off_ms", 0, MAX, MAX) / 1000);
   }
 }
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/Autoscaler.java
@@ -16,13 +16,13 @@
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.Arrivals;
-import org.saffronshore.fleet.Displaced;
-import org.saffronshore.fleet.FleetPlan;
+import org.saffronshore.fleet.DisplacedTasks;
 import org.saffronshore.fleet.Forecast;
-import org.saffronshore.fleet.Kind;
+import org.saffronshore.fleet.MachineKind;
+import org.saffronshore.fleet.RentalPlan;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Plan;
-import org.saffronshore.scheduling.Room;
+import org.saffronshore.scheduling.Resources;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Json;
 import org.saffronshore.wire.MachineType;
@@ -30,8 +30,8 @@
 import org.slf4j.LoggerFactory;
 
 /** Keeps the rented machines in line with what the tasks need, for one term. */
-final class FleetKeeper {
-  private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
+final class Autoscaler {
+  private static final Logger LOG = LoggerFactory.getLogger(Autoscaler.class);
 
   /**
    * Boots later than this, as a multiple of the usual time, are not counted on, and later than that
@@ -62,7 +62,7 @@
   /** Working out what to rent may take this share of the time. */
   private static final double RENT_SHARE = 0.1;
 
-  private record Order(String name, Kind kind, int count, double askedAt) {}
+  private record Order(String name, MachineKind kind, int count, double askedAt) {}
 
   private static final class Refusal {
     double until;
@@ -76,16 +76,16 @@
   private final Leader leader;
   private final Cluster cluster;
   private final long term;
-  private final MachineList list;
+  private final MachineListPoller machineList;
   private final Consolidation consolidation;
   private final Map<String, Order> orders = new LinkedHashMap<>();
-  private final Map<Kind, Refusal> refusals = new HashMap<>();
+  private final Map<MachineKind, Refusal> refusals = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
-  private List<Plan.Unmet> unmet = List.of();
+  private List<Plan.Unmet> unplaced = List.of();
   private double rentAgainAt = Double.NEGATIVE_INFINITY;
   private long lastName;
 
-  FleetKeeper(Node node, Leader leader, Cluster cluster, long term) {
+  Autoscaler(Node node, Leader leader, Cluster cluster, long term) {
     this.loop = node.loop();
     this.settings = node.settings();
     this.cloud = node.cloud();
@@ -93,29 +93,29 @@
     this.leader = leader;
     this.cluster = cluster;
     this.term = term;
-    this.list = new MachineList(node, leader, cluster);
+    this.machineList = new MachineListPoller(node, leader, cluster);
     this.consolidation = new Consolidation(node, cluster);
   }
 
   void start() {
-    list.read();
-    leader.repeat(Math.max(settings.reportS(), 2 / settings.cloudRps()), list::read);
-    leader.repeat(settings.reportS() / 3, this::keep);
+    machineList.read();
+    leader.repeat(Math.max(settings.reportS(), 2 / settings.cloudRps()), machineList::read);
+    leader.repeat(settings.reportS() / 3, this::reconcile);
   }
 
   /** What the last cycle found no place for. */
   void wanted(List<Plan.Unmet> nowUnmet) {
-    unmet = nowUnmet;
+    unplaced = nowUnmet;
     rent();
   }
 
-  private void keep() {
+  private void reconcile() {
     if (!leader.loaded()) {
       return;
     }
-    giveBack();
+    returnMachines();
     rent();
-    if (unmet.isEmpty()) {
+    if (unplaced.isEmpty()) {
       consolidation.run();
     }
   }
@@ -127,15 +127,15 @@
    * be waste.
    */
   private boolean mayRent() {
-    return leader.acting()
+    return leader.isActive()
         && leader.loaded()
-        && list.complete()
+        && machineList.complete()
         && (term == 1 || loop.now() > cluster.startedAt() + settings.listLagS());
   }
 
   private void rent() {
     double now = loop.now();
-    if (!mayRent() || unmet.isEmpty() || now < rentAgainAt || orders.size() >= mostOrders()) {
+    if (!mayRent() || unplaced.isEmpty() || now < rentAgainAt || orders.size() >= maxOrders()) {
       return;
     }
     Map<String, Integer> perZone = new HashMap<>();
@@ -146,11 +146,11 @@
     }
     orders.values().forEach(o -> perZone.merge(o.kind.zone(), o.count, Integer::sum));
     List<Plan.Unmet> late =
-        Forecast.late(lines(true), unmet, cluster::lastsS, job -> now + boot(job));
-    FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
+        Forecast.late(lines(true), unplaced, cluster::lastsS, job -> now + boot(job));
+    RentalPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
         .forEach(this::order);
-    foresee(perZone, now);
-    makeWay(late, perZone, now);
+    rentForExpectedArrivals(perZone, now);
+    rentForDisplacedTasks(late, perZone, now);
     double took = loop.now() - now;
     rentAgainAt = loop.now() + Math.max(settings.reportS() / 12, took / RENT_SHARE);
   }
@@ -161,7 +161,7 @@
     for (Order o : orders.values()) {
       MachineType type = cluster.types().get(o.kind.type());
       for (int i = 0; i < o.count && type != null; i++) {
-        lines.add(new Forecast.Line(o.kind, Room.of(type), o.askedAt + type.bootS()));
+        lines.add(new Forecast.Line(o.kind, Resources.of(type), o.askedAt + type.bootS()));
       }
     }
     return lines;
@@ -171,15 +171,16 @@
    * Rents for tasks that stand in the way of others, where that is no dearer than what they stand
    * on.
    */
-  private void makeWay(List<Plan.Unmet> late, Map<String, Integer> perZone, double now) {
+  private void rentForDisplacedTasks(
+      List<Plan.Unmet> late, Map<String, Integer> perZone, double now) {
     Set<String> scarce = new HashSet<>();
     double dearest = 0;
     for (MachineType type : cluster.types().values()) {
       if (type.zones().stream()
           .allMatch(
               zone ->
-                  refusals.containsKey(new Kind(type.name(), zone, true))
-                      && refusals.containsKey(new Kind(type.name(), zone, false)))) {
+                  refusals.containsKey(new MachineKind(type.name(), zone, true))
+                      && refusals.containsKey(new MachineKind(type.name(), zone, false)))) {
         scarce.add(type.name());
         dearest = Math.max(dearest, type.price() / type.cpus());
       }
@@ -189,7 +190,7 @@
     }
     double limit = dearest;
     List<Plan.Unmet> displaced =
-        Displaced.find(cluster.types(), scarce, late, cluster.runningOn(scarce));
+        DisplacedTasks.find(cluster.types(), scarce, late, cluster.runningOn(scarce));
     if (displaced.isEmpty()) {
       return;
     }
@@ -199,7 +200,7 @@
         lines(false).stream().filter(l -> !scarce.contains(l.kind().type())).toList();
     List<Plan.Unmet> homeless =
         Forecast.late(others, displaced, cluster::lastsS, job -> now + boot(job));
-    FleetPlan.orders(
+    RentalPlan.orders(
             cluster.types(),
             homeless,
             perZone,
@@ -217,7 +218,7 @@
    * What the cloud takes in about two seconds: more would only wait here, and be out of date by
    * then.
    */
-  private int mostOrders() {
+  private int maxOrders() {
     return (int) Math.max(2, 2 * settings.cloudRps());
   }
 
@@ -227,8 +228,8 @@
    * wait it is to be short. Cheap machines only: ordinary ones for what may not come cost more than
    * the waits are worth.
    */
-  private void foresee(Map<String, Integer> perZone, double now) {
-    List<Plan.Unmet> queue = new ArrayList<>(unmet);
+  private void rentForExpectedArrivals(Map<String, Integer> perZone, double now) {
+    List<Plan.Unmet> queue = new ArrayList<>(unplaced);
     queue.addAll(cluster.arrivals().within(boot(), now));
     List<Plan.Unmet> late =
         Forecast.late(
@@ -236,12 +237,12 @@
             queue,
             cluster::lastsS,
             job -> now + boot(job) * (waitMinded(job) ? MINDED_WAIT : 1));
-    FleetPlan.orders(cluster.types(), late, perZone, kind -> kind.spot() && available(kind, now))
+    RentalPlan.orders(cluster.types(), late, perZone, kind -> kind.spot() && available(kind, now))
         .forEach(this::order);
-    if (overloaded()) {
+    if (queueStands()) {
       List<Plan.Unmet> beyond =
           Forecast.late(lines(true), queue, cluster::lastsS, job -> now + boot(job));
-      FleetPlan.orders(cluster.types(), beyond, perZone, kind -> available(kind, now))
+      RentalPlan.orders(cluster.types(), beyond, perZone, kind -> available(kind, now))
           .forEach(this::order);
     }
   }
@@ -250,8 +251,8 @@
    * Whether tasks have waited for much longer than users wish, and than a boot takes: then what
    * waits does not clear, however soon it is foretold to, and the cheap machines are not enough.
    */
-  private boolean overloaded() {
-    return unmet.stream()
+  private boolean queueStands() {
+    return unplaced.stream()
         .anyMatch(
             u -> {
               Job job = cluster.job(u.job().id());
@@ -288,20 +289,20 @@
         .orElse(0);
   }
 
-  private boolean available(Kind kind, double now) {
+  private boolean available(MachineKind kind, double now) {
     Refusal r = refusals.get(kind);
     return r == null || now >= r.until;
   }
 
-  private void order(Kind kind, int count) {
+  private void order(MachineKind kind, int count) {
     for (int left = count;
-        left > 0 && orders.size() < mostOrders() && leader.acting();
-        left -= CloudClient.MOST_RENTED) {
+        left > 0 && orders.size() < maxOrders() && leader.isActive();
+        left -= CloudClient.MAX_RENTED) {
       Order order =
           new Order(
               "r-" + term + "-" + ++lastName,
               kind,
-              Math.min(left, CloudClient.MOST_RENTED),
+              Math.min(left, CloudClient.MAX_RENTED),
               loop.now());
       orders.put(order.name, order);
       ask(order);
@@ -328,7 +329,7 @@
             orders.remove(order.name);
             LOG.error("the cloud calls the order of {} {} malformed", order.count, order.kind);
             refused(order.kind);
-          } else if (leader.acting()) {
+          } else if (leader.isActive()) {
             // It may have been carried out: only the same name again tells, and rents nothing
             // twice.
             loop.after(settings.reportS() / 3, () -> ask(order));
@@ -352,7 +353,7 @@
     }
   }
 
-  private void refused(Kind kind) {
+  private void refused(MachineKind kind) {
     MachineType type = cluster.types().get(kind.type());
     double boot = type == null ? settings.leaseS() : type.bootS();
     Refusal r = refusals.computeIfAbsent(kind, k -> new Refusal());
@@ -369,17 +370,17 @@
       return "it has failed";
     }
     if (!m.everUp()) {
-      return now > m.rentedAt() + LOST_BOOT * boot && m.empty() && !cluster.isUnsettled(m)
+      return now > m.rentedAt() + LOST_BOOT * boot && m.empty() && !cluster.isUnconfirmed(m)
           ? "it never came up"
           : null;
     }
     if (!m.up()) {
       return "it is lost";
     }
-    if (cluster.hearing().useless(m)) {
+    if (cluster.unresponsiveMachines().isUnusable(m)) {
       return "it does not hear us";
     }
-    if (!m.empty() || !m.settled()) {
+    if (!m.empty() || !m.confirmed()) {
       return null;
     }
     if (m.draining()) {
@@ -392,8 +393,7 @@
       return "it is to be taken back, and is empty";
     }
     boolean idle =
-        now > m.idleSince() + IDLE_KEPT * boot
-            && now > m.rentedAt() + Consolidation.LEAST_CHARGED_S;
+        now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + Consolidation.MIN_CHARGED_S;
     return idle && !spare.needs(m) ? "it is idle" : null;
   }
 
@@ -402,7 +402,7 @@
    * some.
    */
   private final class Spare {
-    private final Map<Machine, Room> rooms = new HashMap<>();
+    private final Map<Machine, Resources> rooms = new HashMap<>();
     private final Map<Arrivals.Expected, Double> fitting = new LinkedHashMap<>();
 
     Spare(double now) {
@@ -413,7 +413,7 @@
               .orElse(settings.leaseS());
       cluster.arrivals().expected(now, boot / 2).forEach(e -> fitting.put(e, 0.0));
       for (Machine m : cluster.machines()) {
-        Room room = returning.contains(m.id()) ? null : cluster.freeOn(m);
+        Resources room = returning.contains(m.id()) ? null : cluster.freeOn(m);
         if (room != null) {
           rooms.put(m, room);
           fitting.replaceAll((e, sum) -> sum + on(m, e));
@@ -422,7 +422,7 @@
     }
 
     private double on(Machine m, Arrivals.Expected e) {
-      Room room = rooms.get(m);
+      Resources room = rooms.get(m);
       return room == null || !m.kind().allows(e.task()) ? 0 : Arrivals.fitting(room, e.task());
     }
 
@@ -441,7 +441,7 @@
     }
   }
 
-  private void giveBack() {
+  private void returnMachines() {
     double now = loop.now();
     List<String> names = new ArrayList<>();
     List<Machine> dearFirst = new ArrayList<>(cluster.machines());
@@ -449,7 +449,7 @@
     Spare spare = new Spare(now);
     for (Machine m : dearFirst) {
       String why = returning.contains(m.id()) ? null : reason(m, now, spare);
-      if (why != null && names.size() < CloudClient.MOST_RETURNED) {
+      if (why != null && names.size() < CloudClient.MAX_RETURNED) {
         LOG.debug("returning machine {}: {}", m.id(), why);
         cluster.returning(m);
         returning.add(m.id());
@@ -463,7 +463,7 @@
   }
 
   private void returned(List<String> names) {
-    cloud.giveBack(
+    cloud.returnMachines(
         names,
         answer -> {
           if (answer.ok()) {
@@ -474,10 +474,10 @@
               if (m != null) {
                 // What was given back can be had again.
                 refusals.remove(m.kind());
-                cluster.gone(m, "returned");
+                cluster.removed(m, "returned");
               }
             }
-          } else if (leader.acting()) {
+          } else if (leader.isActive()) {
             // A successor may have given them work since: it decides whether they are to go.
             loop.after(settings.reportS() / 3, () -> returned(names));
           } else {
--- a/src/main/java/org/saffronshore/control/KnownCancellations.java
+++ b/src/main/java/org/saffronshore/control/CancellationFreshness.java
@@ -16,7 +16,7 @@
  * live for one lease more. So no answer and no launch may be sent later than the moment known, plus
  * the time of a cancellation, less a lease.
  */
-final class KnownCancellations {
+final class CancellationFreshness {
   /** Several times as long as a watch on the jobs is held open. */
   private static final double FRESH = 1.0 / 6;
 
@@ -24,7 +24,7 @@
   private final Map<String, Double> toldUpTo = new HashMap<>();
   private double readAt = Double.NEGATIVE_INFINITY;
 
-  KnownCancellations(Settings settings) {
+  CancellationFreshness(Settings settings) {
     this.settings = settings;
   }
 
@@ -63,9 +63,9 @@
    * machines that hang. Where a cancellation is given hardly more time than a lease, leases cannot
    * see to it, and reads must be fresh.
    */
-  double keepsAliveUntil() {
+  double renewalsAllowedUntil() {
     double leasesEnd =
-        settings.cancelS() - Settings.stretched(settings.leaseS()) - settings.reportS();
+        settings.cancelS() - Settings.longestLocalTime(settings.leaseS()) - settings.reportS();
     return upTo() + Math.max(settings.cancelS() * FRESH, leasesEnd);
   }
 }
--- a/src/main/java/org/saffronshore/control/Consolidation.java
+++ b/src/main/java/org/saffronshore/control/Consolidation.java
@@ -9,7 +9,7 @@
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.http.Loop;
-import org.saffronshore.scheduling.Room;
+import org.saffronshore.scheduling.Resources;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -18,10 +18,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Consolidation.class);
 
   /** A start counts for little when the task is stopped again sooner than this. */
-  private static final double LEAST_RUN_S = 30;
+  private static final double MIN_RUN_S = 30;
 
   /** A machine costs this much even when it is returned sooner. */
-  static final double LEAST_CHARGED_S = 60;
+  static final double MIN_CHARGED_S = 60;
 
   /** This share of the machines may be emptied at the same time. */
   private static final double EMPTIED_SHARE = 0.02;
@@ -42,17 +42,17 @@
   void run() {
     double now = loop.now();
     List<Machine> leastFirst = new ArrayList<>();
-    Map<Machine, Room> rooms = new LinkedHashMap<>();
+    Map<Machine, Resources> rooms = new LinkedHashMap<>();
     int draining = 0;
     for (Machine m : cluster.machines()) {
       if (m.draining()) {
         draining++;
         continue;
       }
-      Room room = m.empty() ? null : cluster.freeOn(m);
+      Resources room = m.empty() ? null : cluster.freeOn(m);
       if (room != null) {
         rooms.put(m, room);
-        if (cluster.movable(m, LEAST_RUN_S) && now > m.rentedAt() + LEAST_CHARGED_S) {
+        if (cluster.movable(m, MIN_RUN_S) && now > m.rentedAt() + MIN_CHARGED_S) {
           leastFirst.add(m);
         }
       }
@@ -71,10 +71,10 @@
   }
 
   /** Whether the machine's tasks fit on others; if so, their room is taken. */
-  private static boolean fitElsewhere(Machine m, Map<Machine, Room> rooms) {
+  private static boolean fitElsewhere(Machine m, Map<Machine, Resources> rooms) {
     List<Runnable> undo = new ArrayList<>();
     for (Attempt a : m.attempts()) {
-      Room found = null;
+      Resources found = null;
       for (var e : rooms.entrySet()) {
         Machine other = e.getKey();
         boolean worse = m.spot() && !other.spot();
@@ -87,7 +87,7 @@
         undo.forEach(Runnable::run);
         return false;
       }
-      Room room = found;
+      Resources room = found;
       room.take(a.job());
       undo.add(() -> room.give(a.job()));
     }
--- a/src/main/java/org/saffronshore/control/Chains.java
+++ b/src/main/java/org/saffronshore/control/DependencyResolver.java
@@ -17,27 +17,27 @@
  * their own ends. Neither is urgent: what is not known to be done keeps others waiting, and users
  * are told of cancellations without it.
  */
-final class Chains {
+final class DependencyResolver {
   /** So many writes are under way at the same time. */
-  private static final int MOST_WRITES = 8;
+  private static final int MAX_WRITES = 8;
 
   private final Loop loop;
   private final JobStore store;
   private final Leader leader;
   private final Cluster cluster;
-  private final Records records;
+  private final TermStore termStore;
   private boolean reading;
   private final Set<String> writing = new HashSet<>();
 
-  Chains(Node node, Leader leader, Cluster cluster, Records records) {
+  DependencyResolver(Node node, Leader leader, Cluster cluster, TermStore termStore) {
     this.loop = node.loop();
     this.store = node.store();
     this.leader = leader;
     this.cluster = cluster;
-    this.records = records;
+    this.termStore = termStore;
   }
 
-  void look() {
+  void resolve() {
     List<String> unknown = cluster.dependencies().unknown();
     if (!reading && !unknown.isEmpty()) {
       reading = true;
@@ -45,11 +45,11 @@
     }
     for (String id : cluster.dependencies().cancelled()) {
       Job job = cluster.job(id);
-      if (writing.size() >= MOST_WRITES) {
+      if (writing.size() >= MAX_WRITES) {
         break;
       }
       if (job != null && writing.add(id)) {
-        records.saveCancelled(job, () -> writing.remove(id));
+        termStore.saveCancelled(job, () -> writing.remove(id));
       }
     }
   }
@@ -73,8 +73,8 @@
     }
     // What could not be read is asked again with the next round.
     if (news) {
-      leader.act();
-      look();
+      leader.runDueWork();
+      resolve();
     }
   }
 }
--- a/src/main/java/org/saffronshore/control/JobFeed.java
+++ b/src/main/java/org/saffronshore/control/JobWatcher.java
@@ -19,8 +19,8 @@
 import org.slf4j.LoggerFactory;
 
 /** Keeps one term's cluster in line with the open jobs of the state service. */
-final class JobFeed {
-  private static final Logger LOG = LoggerFactory.getLogger(JobFeed.class);
+final class JobWatcher {
+  private static final Logger LOG = LoggerFactory.getLogger(JobWatcher.class);
 
   private final Loop loop;
   private final Settings settings;
@@ -28,7 +28,7 @@
   private final Leader leader;
   private final Cluster cluster;
 
-  JobFeed(Node node, Leader leader, Cluster cluster) {
+  JobWatcher(Node node, Leader leader, Cluster cluster) {
     this.loop = node.loop();
     this.settings = node.settings();
     this.state = node.state();
@@ -37,7 +37,7 @@
   }
 
   /** Takes the jobs that were open when the term began, and follows what becomes of them. */
-  void begin(StateClient.Listing jobs, Map<String, BitSet> done, Map<String, Integer> reach) {
+  void begin(StateClient.Listing jobs, Map<String, BitSet> done, Map<String, Integer> launchMark) {
     for (StateClient.Entry e : jobs.entries()) {
       String id = Keys.idOf(e.key());
       add(
@@ -45,7 +45,7 @@
           e.value(),
           e.version(),
           done.getOrDefault(id, new BitSet()),
-          reach.getOrDefault(id, 0));
+          launchMark.getOrDefault(id, 0));
     }
   }
 
@@ -54,10 +54,14 @@
     add(key, record, version, new BitSet(), 0);
   }
 
-  private void add(String key, JsonNode record, long version, BitSet done, int reach) {
+  private void add(String key, JsonNode record, long version, BitSet done, int launchMark) {
     try {
       cluster.addJob(
-          JobSpec.parse(record.get("Spec")), version, Json.count(record, "At", 0), done, reach);
+          JobSpec.parse(record.get("Spec")),
+          version,
+          Json.count(record, "At", 0),
+          done,
+          launchMark);
     } catch (InvalidField e) {
       LOG.error("the record {} cannot be read: {}", key, e.getMessage());
     }
@@ -103,7 +107,7 @@
       }
     }
     if (!events.isEmpty()) {
-      leader.act();
+      leader.runDueWork();
     }
   }
 
@@ -132,7 +136,7 @@
           }
           leader.cancellationsRead(askedAt);
           watch(jobs.revision());
-          leader.act();
+          leader.runDueWork();
         });
   }
 }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -45,24 +45,24 @@
   private final Metrics metrics;
   private final RandomGenerator random;
   private final PeerLink peers;
-  private final FleetKeeper fleet;
+  private final Autoscaler fleet;
   private final Cluster cluster;
-  private final JobFeed feed;
-  private final Records records;
-  private final Chains chains;
+  private final JobWatcher jobWatcher;
+  private final TermStore termStore;
+  private final DependencyResolver dependencyResolver;
   private final long term;
   private final byte[] nothingToDo;
   private boolean ended;
   private boolean loaded;
 
   /** Calls under way: a burst of launches must not use up the connections. */
-  private int callsOut;
+  private int commandsInFlight;
 
-  private final int mostCalls;
+  private final int maxCommandsInFlight;
   private boolean cyclePlanned;
-  private final KnownCancellations cancellations;
+  private final CancellationFreshness cancellations;
   private final double startedAt;
-  private double unpermittedAt = Double.NEGATIVE_INFINITY;
+  private double noStoreLeaseAt = Double.NEGATIVE_INFINITY;
   private double awakeAt;
   private double refusedSince = Double.POSITIVE_INFINITY;
   private double lastCycleS;
@@ -79,31 +79,31 @@
     this.peers = node.peers();
     this.term = term;
     this.startedAt = loop.now();
-    this.cancellations = new KnownCancellations(settings);
-    this.mostCalls = Math.max(4, settings.sockets() / 8);
+    this.cancellations = new CancellationFreshness(settings);
+    this.maxCommandsInFlight = Math.max(4, settings.sockets() / 8);
     this.nothingToDo = Json.bytes(answer(List.of()));
     this.cluster = new Cluster(loop, settings, term, keyVersion);
-    this.feed = new JobFeed(node, this, cluster);
-    this.records = new Records(node, this, cluster);
-    this.chains = new Chains(node, this, cluster, records);
-    this.fleet = new FleetKeeper(node, this, cluster, term);
+    this.jobWatcher = new JobWatcher(node, this, cluster);
+    this.termStore = new TermStore(node, this, cluster);
+    this.dependencyResolver = new DependencyResolver(node, this, cluster, termStore);
+    this.fleet = new Autoscaler(node, this, cluster, term);
   }
 
   Cluster cluster() {
     return cluster;
   }
 
-  FleetKeeper fleet() {
+  Autoscaler fleet() {
     return fleet;
   }
 
-  boolean acting() {
-    return !ended && leadership.acting();
+  boolean isActive() {
+    return !ended && leadership.isActive();
   }
 
   /** Whether nobody else may act, although this node may not know enough yet to act itself. */
-  boolean entitled() {
-    return !ended && leadership.entitled();
+  boolean holdsLease() {
+    return !ended && leadership.holdsLease();
   }
 
   boolean loaded() {
@@ -121,7 +121,7 @@
   void start() {
     awakeAt = loop.now();
     load();
-    loop.after(settings.reportS() / 12, this::makeWay);
+    loop.after(settings.reportS() / 12, this::checkLeadership);
     repeat(settings.reportS() / 12, this::tick);
     repeat(settings.reportS() / 3, this::saveProgress);
     repeat(settings.reportS(), this::readOperator);
@@ -157,7 +157,7 @@
           }
           awake();
           try {
-            if (leadership.acting()) {
+            if (leadership.isActive()) {
               action.run();
             }
           } finally {
@@ -175,7 +175,7 @@
           }
           try {
             cycle(true);
-            if (acting() && loaded) {
+            if (isActive() && loaded) {
               LOG.info("term {}: {}", term, cluster.summary());
             }
           } finally {
@@ -189,7 +189,7 @@
   private void load() {
     double askedAt = loop.now();
     state.lists(
-        List.of(Keys.PROGRESS, Keys.SHORT_PROGRESS, Keys.ROSTER, Keys.REACH, Keys.JOBS),
+        List.of(Keys.PROGRESS, Keys.SHORT_PROGRESS, Keys.REGISTRY, Keys.LAUNCH_MARKS, Keys.JOBS),
         read -> {
           if (ended) {
             return;
@@ -199,25 +199,25 @@
             return;
           }
           StateClient.Listing jobs = read.get(Keys.JOBS);
-          Map<String, BitSet> done = records.readProgress(read.get(Keys.PROGRESS));
-          records.readShortProgress(read.get(Keys.SHORT_PROGRESS), done);
-          feed.begin(jobs, done, records.readReach(read.get(Keys.REACH)));
-          records.begin(read.get(Keys.ROSTER));
+          Map<String, BitSet> done = termStore.readProgress(read.get(Keys.PROGRESS));
+          termStore.readShortProgress(read.get(Keys.SHORT_PROGRESS), done);
+          jobWatcher.begin(jobs, done, termStore.readLaunchMarks(read.get(Keys.LAUNCH_MARKS)));
+          termStore.begin(read.get(Keys.REGISTRY));
           loaded = true;
           cancellationsRead(askedAt);
           LOG.info(
               "term {}: {} open jobs, {} machines that may hold tasks",
               term,
               jobs.entries().size(),
-              cluster.unsettledCount());
-          feed.watch(jobs.revision());
+              cluster.unconfirmedCount());
+          jobWatcher.watch(jobs.revision());
           planCycle();
         });
   }
 
-  /** All that was cancelled up to some moment is known here; see {@link KnownCancellations}. */
+  /** All that was cancelled up to some moment is known here; see {@link CancellationFreshness}. */
   private void cancellationsKnown() {
-    leadership.keepAliveUntil(cancellations.keepsAliveUntil());
+    leadership.allowRenewalsUntil(cancellations.renewalsAllowedUntil());
   }
 
   void cancellationsRead(double asOf) {
@@ -245,19 +245,19 @@
     cluster.ended(job, false, loop.wallMs());
     if (cluster.job(job) != null) {
       remove(job);
-      act();
+      runDueWork();
     }
   }
 
   /** The job is over. */
   void remove(String job) {
     cluster.removeJob(job);
-    records.remove(job);
+    termStore.remove(job);
   }
 
   private void saveProgress() {
     if (loaded) {
-      records.saveProgress();
+      termStore.saveProgress();
     }
   }
 
@@ -288,12 +288,12 @@
       return null;
     }
     awake();
-    if (!acting() || cluster.isGone(report.machine())) {
+    if (!isActive() || cluster.isRemoved(report.machine())) {
       return null;
     }
     Machine machine = cluster.reported(report);
     List<Command> commands = cluster.responseCommands(machine);
-    act();
+    runDueWork();
     return commands.isEmpty() ? nothingToDo : Json.bytes(answer(commands));
   }
 
@@ -306,14 +306,14 @@
   // Loops
 
   /** Looks after everything that may have become due. */
-  void act() {
-    if (!acting() || !loaded) {
+  void runDueWork() {
+    if (!isActive() || !loaded) {
       return;
     }
-    records.saveReach();
-    records.saveRoster();
-    records.saveFinished();
-    sendCalls();
+    termStore.saveLaunchMarks();
+    termStore.saveRegistry();
+    termStore.saveFinished();
+    sendCommands();
     if (cluster.takeChanged()) {
       planCycle();
     }
@@ -323,39 +323,39 @@
    * Leaves the lead to others where they can do more with it, also when this node may not act
    * itself.
    */
-  private void makeWay() {
+  private void checkLeadership() {
     if (ended) {
       return;
     }
-    if (!leadership.permitted()) {
+    if (!leadership.holdsStoreLease()) {
       // After an outage the permit is renewed before the jobs can have been read: that takes a
       // moment.
-      unpermittedAt = loop.now();
+      noStoreLeaseAt = loop.now();
     }
     if (loop.now()
-        > Math.max(Math.max(startedAt, unpermittedAt), cancellations.readAt())
+        > Math.max(Math.max(startedAt, noStoreLeaseAt), cancellations.readAt())
             + settings.cancelS() / 3) {
       leadership.stepDown("cancellations cannot be read");
     } else if (refusedAlone()) {
       leadership.stepDown("the state service serves its peers, and not it");
     } else {
-      loop.after(settings.reportS() / 12, this::makeWay);
+      loop.after(settings.reportS() / 12, this::checkLeadership);
     }
   }
 
   private void tick() {
     if (peers.alone(settings.reportS()) && cluster.mostlySilent(2 * settings.reportS())) {
-      leadership.giveWay("it hears neither its peers nor most machines");
+      leadership.yieldLeadership("it hears neither its peers nor most machines");
       return;
     }
     cluster.expireLeases();
-    cluster.hearing().find();
+    cluster.unresponsiveMachines().detect();
     if (!cluster.mostlySilent(settings.reportS() * 4 / 3)) {
-      cluster.roster().freezeSilent();
+      cluster.registry().freezeSilent();
     }
-    cluster.retryCalls();
-    chains.look();
-    act();
+    cluster.retryCommands();
+    dependencyResolver.resolve();
+    runDueWork();
   }
 
   /**
@@ -370,7 +370,7 @@
         peers.servedSince(state.answeredAt())
             ? Math.min(refusedSince, now)
             : Double.POSITIVE_INFINITY;
-    return !leadership.permitted() && now > refusedSince + settings.reportS() / 4;
+    return !leadership.holdsStoreLease() && now > refusedSince + settings.reportS() / 4;
   }
 
   private void planCycle() {
@@ -387,7 +387,7 @@
 
   private void cycle(boolean evict) {
     awake();
-    if (!acting() || !loaded || cluster.types().isEmpty()) {
+    if (!isActive() || !loaded || cluster.types().isEmpty()) {
       return;
     }
     double began = loop.now();
@@ -395,7 +395,7 @@
     Plan plan =
         Cycle.run(
             cluster.hosts(),
-            cluster.pending(leadership.permitted()),
+            cluster.pending(leadership.holdsStoreLease()),
             cluster.teams(operator.tuning(), operator.teamWeights()),
             operator.tuning(),
             evict,
@@ -413,27 +413,27 @@
     metrics.add(Metrics.Count.STOPPED, plan.stops().size());
     lastCycleS = loop.now() - began;
     metrics.took(Metrics.Latency.CYCLE, lastCycleS);
-    records.saveReach();
-    sendCalls();
+    termStore.saveLaunchMarks();
+    sendCommands();
     fleet.wanted(plan.unmet());
   }
 
-  private void sendCalls() {
+  private void sendCommands() {
     // Looked at before each call: whoever stood still a moment ago may not act any more.
-    while (callsOut < mostCalls && acting()) {
-      Machine m = cluster.nextToCall();
+    while (commandsInFlight < maxCommandsInFlight && isActive()) {
+      Machine m = cluster.nextMachineWithCommands();
       if (m == null) {
         return;
       }
-      Cluster.Call call = cluster.call(m);
+      Cluster.CommandBatch call = cluster.call(m);
       if (call != null) {
-        callsOut++;
+        commandsInFlight++;
         send(call);
       }
     }
   }
 
-  private void send(Cluster.Call call) {
+  private void send(Cluster.CommandBatch call) {
     ObjectNode body = answer(call.commands()).put("Shift", call.session());
     LOG.debug("telling machine {}: {}", call.machine().id(), call.commands());
     // What only asks where a machine is must not stand in the way of launches when many do not
@@ -446,7 +446,7 @@
         Json.bytes(body),
         patience,
         answer -> {
-          callsOut--;
+          commandsInFlight--;
           Report report = null;
           if (answer.status() == 200 || answer.status() == 409) {
             try {
@@ -467,7 +467,7 @@
               answer.equals(org.saffronshore.http.Answer.NOT_SENT)
                   || answer.status() == 409 && report != null;
           cluster.called(call, answer.status() == 200 && report != null, surelyNot, report);
-          act();
+          runDueWork();
         });
   }
 
--- a/src/main/java/org/saffronshore/control/MachineList.java
+++ b/src/main/java/org/saffronshore/control/MachineListPoller.java
@@ -9,7 +9,7 @@
 import org.saffronshore.wire.Json;
 
 /** Keeps one term's cluster in line with the cloud's list of machines. */
-final class MachineList {
+final class MachineListPoller {
   private final Loop loop;
   private final CloudClient cloud;
   private final Leader leader;
@@ -17,7 +17,7 @@
   private boolean busy;
   private boolean complete;
 
-  MachineList(Node node, Leader leader, Cluster cluster) {
+  MachineListPoller(Node node, Leader leader, Cluster cluster) {
     this.loop = node.loop();
     this.cloud = node.cloud();
     this.leader = leader;
@@ -41,7 +41,7 @@
         after,
         answer -> {
           JsonNode body = answer.ok() ? answer.json() : null;
-          if (!leader.entitled() || body == null || !body.path("Cadres").isArray()) {
+          if (!leader.holdsLease() || body == null || !body.path("Cadres").isArray()) {
             busy = false;
             return;
           }
--- a/src/main/java/org/saffronshore/control/TypeFeed.java
+++ b/src/main/java/org/saffronshore/control/MachineTypeCache.java
@@ -21,8 +21,8 @@
  * start while the cloud's interface is away could otherwise neither accept jobs nor place tasks,
  * although all machines are there.
  */
-final class TypeFeed {
-  private static final Logger LOG = LoggerFactory.getLogger(TypeFeed.class);
+final class MachineTypeCache {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineTypeCache.class);
 
   private final Loop loop;
   private final Settings settings;
@@ -34,7 +34,7 @@
   private Map<String, MachineType> kept = Map.of();
   private JsonNode told;
 
-  TypeFeed(Node node, Consumer<Map<String, MachineType>> changed) {
+  MachineTypeCache(Node node, Consumer<Map<String, MachineType>> changed) {
     this.loop = node.loop();
     this.settings = node.settings();
     this.cloud = node.cloud();
@@ -104,7 +104,9 @@
         told == null
             || kept.keySet().equals(types.keySet())
                 && types.values().stream().allMatch(t -> t.sameButForPrices(kept.get(t.name())));
-    if (same || !leadership.permitted() || Json.bytes(told).length > settings.valueKb() * 1024) {
+    if (same
+        || !leadership.holdsStoreLease()
+        || Json.bytes(told).length > settings.valueKb() * 1024) {
       return;
     }
     Map<String, MachineType> keeping = types;
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -50,7 +50,7 @@
   private final AdminApi admin;
   private final Admission admission;
   private final Redirects redirects;
-  private final TypeFeed types;
+  private final MachineTypeCache types;
   private Leader leader;
 
   public Node(Loop loop, Settings settings, Client client, RandomGenerator random) {
@@ -70,7 +70,7 @@
     this.peers = new PeerLink(this);
     this.leadership = new Leadership(loop, state, settings, random, this, peers);
     this.types =
-        new TypeFeed(
+        new MachineTypeCache(
             this,
             now -> {
               if (leader != null) {
@@ -91,7 +91,7 @@
                 Admission.Rank.SUBMISSION,
                 queued));
     this.redirects = new Redirects(loop, settings.reportS());
-    metrics.gauge("leading", () -> leadership.acting() ? 1 : 0);
+    metrics.gauge("leading", () -> leadership.isActive() ? 1 : 0);
     metrics.gauge("term", leadership::term);
     metrics.gauge("machines", () -> leader == null ? 0 : leader.cluster().machines().size());
     metrics.gauge("open_jobs", () -> leader == null ? 0 : leader.cluster().jobs().size());
@@ -209,7 +209,7 @@
             work.run();
           }
         })) {
-      users.busy(reply);
+      users.respondBusy(reply);
     }
   }
 
@@ -312,8 +312,8 @@
   // Leading
 
   /** The leader's part of this node while it may act, or null. */
-  Leader actingLeader() {
-    return leader != null && leader.acting() ? leader : null;
+  Leader activeLeader() {
+    return leader != null && leader.isActive() ? leader : null;
   }
 
   /** What a peer learned of cancellations, in answer to a question of the leader of that term. */
@@ -325,8 +325,8 @@
   }
 
   private Progress progress(String job) {
-    Leader acting = actingLeader();
-    return acting != null ? acting.progress(job) : peers.progress(job);
+    Leader isActive = activeLeader();
+    return isActive != null ? isActive.progress(job) : peers.progress(job);
   }
 
   @Override
@@ -352,14 +352,14 @@
     ObjectNode o =
         Json.object()
             .put("node", settings.node())
-            .put("leading", leadership.acting())
+            .put("leading", leadership.isActive())
             .put("leader", leadership.leaderNode())
             .put("term", leadership.term())
             .put("state_serves", served());
     if (leader != null) {
       o.put("open_jobs", leader.cluster().jobs().size())
           .put("machines", leader.cluster().machines().size())
-          .put("machines_unaccounted", leader.cluster().unsettledCount())
+          .put("machines_unaccounted", leader.cluster().unconfirmedCount())
           .put("jobs_waiting_for_others", leader.cluster().dependencies().waiting());
     }
     return o;
--- a/src/main/java/org/saffronshore/control/Pages.java
+++ b/src/main/java/org/saffronshore/control/PagedRecords.java
@@ -20,7 +20,7 @@
  * against the budget of all nodes. One leader owns them: it reads them when its term begins, and
  * its writes are guarded by its key.
  */
-final class Pages {
+final class PagedRecords {
   /** What an entry takes beside its name and its value: quotes, a colon and a comma. */
   private static final int MARKS = 4;
 
@@ -52,7 +52,7 @@
 
   private final String prefix;
   private final int fillBytes;
-  private final int mostBytes;
+  private final int maxBytes;
   private final Map<Integer, Page> pages = new TreeMap<>();
   private final Map<String, Page> byName = new LinkedHashMap<>();
 
@@ -60,10 +60,10 @@
    * @param fillBytes how long a page may become by new entries; one entry alone may be longer
    * @param mostBytes how long it may become as its entries grow
    */
-  Pages(String prefix, int fillBytes, int mostBytes) {
+  PagedRecords(String prefix, int fillBytes, int maxBytes) {
     this.prefix = prefix;
     this.fillBytes = fillBytes;
-    this.mostBytes = mostBytes;
+    this.maxBytes = maxBytes;
   }
 
   void read(List<StateClient.Entry> stored, BiConsumer<String, JsonNode> each) {
@@ -86,7 +86,7 @@
               });
     }
     new ArrayList<>(pages.values())
-        .stream().filter(page -> page.bytes > mostBytes).forEach(this::split);
+        .stream().filter(page -> page.bytes > maxBytes).forEach(this::split);
   }
 
   /**
@@ -98,7 +98,7 @@
   private void split(Page old) {
     for (Map.Entry<String, JsonNode> e : List.copyOf(old.entries.entrySet())) {
       int size = size(e.getKey(), e.getValue());
-      if (size <= mostBytes) {
+      if (size <= maxBytes) {
         old.entries.remove(e.getKey());
         old.bytes -= size;
         Page copy = withRoom(size);
@@ -148,7 +148,7 @@
   boolean replace(String name, JsonNode value) {
     Page page = byName.get(name);
     if (page == null
-        || page.bytes - size(name, page.entries.get(name)) + size(name, value) > mostBytes) {
+        || page.bytes - size(name, page.entries.get(name)) + size(name, value) > maxBytes) {
       return false;
     }
     remove(name);
@@ -186,7 +186,7 @@
    * Adds changed pages to a transaction, as far as it has room; the batch must be told what became
    * of it.
    */
-  Batch addTo(Txn txn, int mostChanges, int mostTxnBytes) {
+  Batch addTo(Txn txn, int maxChanges, int maxTxnBytes) {
     Batch batch = new Batch();
     int bytes = 0;
     // A copy whose entries were all taken out before it was ever written need not be.
@@ -195,12 +195,12 @@
         .forEach(
             page -> page.copiedTo.removeIf(copy -> copy.version == 0 && copy.entries.isEmpty()));
     for (Page page : pages.values()) {
-      boolean waits = page.asking || !page.copiedTo.isEmpty() || page.bytes > mostBytes;
+      boolean waits = page.asking || !page.copiedTo.isEmpty() || page.bytes > maxBytes;
       if (!page.dirty || waits || page.version == 0 && page.entries.isEmpty()) {
         continue;
       }
-      if (txn.changes() >= mostChanges
-          || !batch.pages.isEmpty() && bytes + page.bytes > mostTxnBytes) {
+      if (txn.changes() >= maxChanges
+          || !batch.pages.isEmpty() && bytes + page.bytes > maxTxnBytes) {
         break;
       }
       // Without this guard a write that is carried out late would put an older page over a newer
@@ -241,7 +241,7 @@
       if (answer.ok() && body != null) {
         long version = Json.count(body, "Ledger", 0);
         pages.forEach(page -> page.version = version);
-        Pages.this.pages.values().forEach(page -> page.copiedTo.removeAll(pages));
+        PagedRecords.this.pages.values().forEach(page -> page.copiedTo.removeAll(pages));
         return true;
       }
       Set<String> refused = new HashSet<>();
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -18,18 +18,18 @@
 import org.saffronshore.http.Loop;
 import org.saffronshore.http.Reply;
 import org.saffronshore.http.Request;
-import org.saffronshore.leadership.Ballot;
+import org.saffronshore.leadership.PeerVoting;
 import org.saffronshore.wire.Json;
 
 /**
  * What the controllers tell one another, in CBOR: whether the state service serves them, and jobs'
  * progress.
  */
-final class PeerLink implements Ballot {
+final class PeerLink implements PeerVoting {
   static final String CBOR = "application/cbor";
-  private static final String HELLO = "/peer/hello";
+  private static final String HEARTBEAT = "/peer/hello";
   private static final String VOTE = "/peer/vote";
-  private static final String GIVE_UP = "/peer/giveup";
+  private static final String WITHDRAW = "/peer/giveup";
   private static final String REPORT = "/peer/report";
 
   private final Loop loop;
@@ -75,32 +75,32 @@
   }
 
   void start() {
-    loop.every(periodS, this::hello);
+    loop.every(periodS, this::sendHeartbeat);
   }
 
-  private void hello() {
-    byte[] body = Json.cbor(greeting());
+  private void sendHeartbeat() {
+    byte[] body = Json.cbor(heartbeat());
     double askedAt = loop.now();
     long term = node.leadership().term();
     for (Peer peer : settings.peers()) {
       client.send(
           peer.address(),
           "POST",
-          HELLO,
+          HEARTBEAT,
           body,
           periodS * 2,
           answer -> {
             JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
             if (back != null) {
-              reached(peer);
-              heard(back);
+              launchMarkSaved(peer);
+              receivedHeartbeat(back);
               if (Json.flag(back, "granted") && term == node.leadership().term()) {
-                node.leadership().granted(peer.node(), askedAt);
+                node.leadership().recordGrant(peer.node(), askedAt);
               }
               if (back.path("cancelled").isArray()) {
                 List<String> jobs = new ArrayList<>();
                 back.get("cancelled").forEach(id -> jobs.add(id.asText()));
-                double coveredS = Settings.shrunk(Json.number(back, "cancelled_s", 0));
+                double coveredS = Settings.shortestLocalTime(Json.number(back, "cancelled_s", 0));
                 node.cancellationsTold(term, peer.node(), askedAt, loop.now() - coveredS, jobs);
               }
             }
@@ -108,7 +108,7 @@
     }
   }
 
-  private void reached(Peer peer) {
+  private void launchMarkSaved(Peer peer) {
     answeredAt = loop.now();
     reachedAt.put(peer.node(), answeredAt);
   }
@@ -121,9 +121,9 @@
     return loop.now() < reachedAt.getOrDefault(peer.node(), Double.POSITIVE_INFINITY) + 3 * periodS;
   }
 
-  private ObjectNode greeting() {
+  private ObjectNode heartbeat() {
     ObjectNode o = self();
-    Leader leader = node.actingLeader();
+    Leader leader = node.activeLeader();
     if (leader != null) {
       o.put("term", leader.cluster().term());
       ObjectNode jobs = o.putObject("jobs");
@@ -142,17 +142,17 @@
     return o;
   }
 
-  private void heard(JsonNode hello) {
-    String from = Json.text(hello, "node");
-    double ageS = Json.number(hello, "served_s", Double.POSITIVE_INFINITY);
+  private void receivedHeartbeat(JsonNode sendHeartbeat) {
+    String from = Json.text(sendHeartbeat, "node");
+    double ageS = Json.number(sendHeartbeat, "served_s", Double.POSITIVE_INFINITY);
     if (from != null) {
       servedAt.merge(from, loop.now() - ageS, Math::max);
     }
-    long term = Json.count(hello, "term", -1);
-    if (term >= progressTerm && hello.path("jobs").isObject()) {
+    long term = Json.count(sendHeartbeat, "term", -1);
+    if (term >= progressTerm && sendHeartbeat.path("jobs").isObject()) {
       progressTerm = term;
       Map<String, Progress> all = new HashMap<>();
-      hello
+      sendHeartbeat
           .get("jobs")
           .properties()
           .forEach(
@@ -231,7 +231,7 @@
   }
 
   @Override
-  public void ask(long term, Predicate<List<Vote>> enough, Consumer<List<Vote>> then) {
+  public void requestVotes(long term, Predicate<List<Vote>> enough, Consumer<List<Vote>> then) {
     List<Vote> votes = new ArrayList<>();
     Set<Peer> missing = new HashSet<>(settings.peers());
     // Those who have not been there for a while are asked too, but the time of the others is not
@@ -256,7 +256,7 @@
           answer -> {
             JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
             if (back != null && Json.text(back, "life") != null) {
-              reached(peer);
+              launchMarkSaved(peer);
               votes.add(new Vote(peer.node(), Json.text(back, "life"), Json.flag(back, "granted")));
             }
             missing.remove(peer);
@@ -267,10 +267,10 @@
   }
 
   @Override
-  public void giveUp(long term) {
+  public void withdraw(long term) {
     byte[] body = Json.cbor(self().put("term", term));
     for (Peer peer : settings.peers()) {
-      client.send(peer.address(), "POST", GIVE_UP, body, periodS, answer -> {});
+      client.send(peer.address(), "POST", WITHDRAW, body, periodS, answer -> {});
     }
   }
 
@@ -281,7 +281,7 @@
       relayed(request, reply);
       return true;
     }
-    if (!path.equals(HELLO) && !path.equals(VOTE) && !path.equals(GIVE_UP)) {
+    if (!path.equals(HEARTBEAT) && !path.equals(VOTE) && !path.equals(WITHDRAW)) {
       return false;
     }
     JsonNode message = request.body() == null ? null : Json.parseCbor(request.body());
@@ -296,11 +296,11 @@
     ObjectNode answer = self();
     if (outdated(from, life, Json.count(message, "n", 0))) {
       answer.put("granted", false);
-    } else if (path.equals(GIVE_UP)) {
-      node.leadership().peerGaveUp(from, life, term);
+    } else if (path.equals(WITHDRAW)) {
+      node.leadership().peerWithdrew(from, life, term);
     } else {
-      if (path.equals(HELLO)) {
-        heard(message);
+      if (path.equals(HEARTBEAT)) {
+        receivedHeartbeat(message);
         if (term >= 0) {
           tellCancellations(answer);
         }
@@ -309,7 +309,7 @@
           "granted",
           term >= 0
               && node.leadership()
-                  .give(
+                  .grant(
                       from,
                       life,
                       term,
--- a/src/main/java/org/saffronshore/control/Records.java
+++ b/src/main/java/org/saffronshore/control/TermStore.java
@@ -38,8 +38,8 @@
  * What a term writes down for the next one: which jobs are done, which tasks of the others are
  * finished, and which machines may hold tasks. Every write is guarded by the leader's key.
  */
-final class Records {
-  private static final Logger LOG = LoggerFactory.getLogger(Records.class);
+final class TermStore {
+  private static final Logger LOG = LoggerFactory.getLogger(TermStore.class);
 
   /**
    * Finished tasks are kept in pieces, so that an entry stays below what the state service takes.
@@ -63,10 +63,10 @@
    * Launches may wait for a write so many times in a report interval; each spends the budget of all
    * nodes.
    */
-  private static final double REACH_WRITES = 40;
+  private static final double LAUNCH_MARK_WRITES = 40;
 
   /** A transaction may be 64 KiB long; this leaves room for its guards. */
-  private static final int MOST_TXN_BYTES = 40 * 1024;
+  private static final int MAX_TXN_BYTES = 40 * 1024;
 
   private final Loop loop;
   private final Settings settings;
@@ -75,26 +75,26 @@
   private final Leadership leadership;
   private final Leader leader;
   private final Cluster cluster;
-  private final Pages progress;
+  private final PagedRecords progress;
 
   /**
    * Where values are too short for pieces of the usual length, the pieces of the largest jobs; and
    * their length.
    */
-  private final Pages shortProgress;
+  private final PagedRecords shortProgress;
 
   private final int shortPiece;
-  private final Pages roster;
-  private final Pages reach;
+  private final PagedRecords registry;
+  private final PagedRecords launchMark;
   private boolean progressBusy;
   private boolean shortFirst;
-  private boolean rosterBusy;
-  private boolean reachBusy;
-  private double reachAgainAt = Double.NEGATIVE_INFINITY;
+  private boolean registryWriteInFlight;
+  private boolean launchMarksBusy;
+  private double launchMarksRetryAt = Double.NEGATIVE_INFINITY;
   private double finishAgainAt = Double.NEGATIVE_INFINITY;
-  private double rosterAgainAt = Double.NEGATIVE_INFINITY;
+  private double registryRetryAt = Double.NEGATIVE_INFINITY;
 
-  Records(Node node, Leader leader, Cluster cluster) {
+  TermStore(Node node, Leader leader, Cluster cluster) {
     this.loop = node.loop();
     this.settings = node.settings();
     this.state = node.state();
@@ -109,10 +109,10 @@
       shortPiece /= 2;
     }
     this.shortPiece = shortPiece;
-    this.shortProgress = new Pages(Keys.SHORT_PROGRESS, fill, most);
-    this.progress = new Pages(Keys.PROGRESS, fill, most);
-    this.roster = new Pages(Keys.ROSTER, fill, most);
-    this.reach = new Pages(Keys.REACH, fill, most);
+    this.shortProgress = new PagedRecords(Keys.SHORT_PROGRESS, fill, most);
+    this.progress = new PagedRecords(Keys.PROGRESS, fill, most);
+    this.registry = new PagedRecords(Keys.REGISTRY, fill, most);
+    this.launchMark = new PagedRecords(Keys.LAUNCH_MARKS, fill, most);
   }
 
   // What earlier terms wrote
@@ -144,9 +144,9 @@
   }
 
   /** How far each job's tasks may have been launched. */
-  Map<String, Integer> readReach(StateClient.Listing stored) {
+  Map<String, Integer> readLaunchMarks(StateClient.Listing stored) {
     Map<String, Integer> all = new HashMap<>();
-    reach.read(stored.entries(), (job, value) -> all.merge(job, value.asInt(), Math::max));
+    launchMark.read(stored.entries(), (job, value) -> all.merge(job, value.asInt(), Math::max));
     return all;
   }
 
@@ -154,24 +154,24 @@
    * Tells the cluster of all machines that may hold tasks, and forgets the progress of jobs that
    * are over.
    */
-  void begin(StateClient.Listing storedRoster) {
+  void begin(StateClient.Listing storedRegistry) {
     Set<String> seen = new HashSet<>();
-    roster.read(
-        storedRoster.entries(),
+    registry.read(
+        storedRegistry.entries(),
         (machine, entry) -> {
           // While a page is split an entry may stand twice, and nothing tells which is the newer
           // one.
           boolean once = seen.add(machine);
           double ageS = (loop.wallMs() - Json.count(entry, "At", Long.MAX_VALUE / 2)) / 1000.0;
-          cluster.addRoster(
+          cluster.addRegistered(
               machine, ageS - 2 * settings.clockOffS(), once ? held(entry.get("Held")) : null);
         });
-    for (String job : new ArrayList<>(reach.names())) {
+    for (String job : new ArrayList<>(launchMark.names())) {
       if (cluster.job(job) == null) {
-        reach.remove(job);
+        launchMark.remove(job);
       }
     }
-    for (Pages pages : List.of(progress, shortProgress)) {
+    for (PagedRecords pages : List.of(progress, shortProgress)) {
       for (String name : new ArrayList<>(pages.names())) {
         if (cluster.job(Keys.idOf(Keys.PROGRESS + name)) == null) {
           pages.remove(name);
@@ -217,8 +217,8 @@
 
   /** The job is over: its finished tasks need not be kept any more. */
   void remove(String job) {
-    reach.remove(job);
-    for (int piece = 0; piece * PIECE < JobSpec.MOST_TASKS; piece++) {
+    launchMark.remove(job);
+    for (int piece = 0; piece * PIECE < JobSpec.MAX_TASKS; piece++) {
       progress.remove(name(job, piece));
     }
     if (shortPiece < PIECE) {
@@ -263,7 +263,7 @@
             store.remember(id, JobStore.Status.DONE);
             cluster.ended(id, true, endedMs);
             leader.remove(id);
-            leader.act();
+            leader.runDueWork();
             return;
           }
           // Its user cancelled it, or an earlier try of ours came through, which the watch will
@@ -312,11 +312,11 @@
     Txn txn = guarded();
     // In turns, should both have something to write.
     shortFirst = !shortFirst;
-    Pages.Batch first =
-        (shortFirst ? shortProgress : progress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
-    Pages.Batch batch =
+    PagedRecords.Batch first =
+        (shortFirst ? shortProgress : progress).addTo(txn, settings.txnOps(), MAX_TXN_BYTES);
+    PagedRecords.Batch batch =
         first.isEmpty()
-            ? (shortFirst ? progress : shortProgress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES)
+            ? (shortFirst ? progress : shortProgress).addTo(txn, settings.txnOps(), MAX_TXN_BYTES)
             : first;
     if (batch.isEmpty()) {
       return;
@@ -335,7 +335,7 @@
   }
 
   /** Writes pages, and tells whether that was carried out for as long as this term lasts. */
-  private void write(Txn txn, Pages.Batch batch, Consumer<Boolean> then) {
+  private void write(Txn txn, PagedRecords.Batch batch, Consumer<Boolean> then) {
     state.commit(
         txn,
         true,
@@ -381,34 +381,34 @@
    * been. So a next leader that cannot find some machines still knows which tasks cannot be there.
    * A job is written down with its first tasks, and then for twice as many each time.
    */
-  void saveReach() {
+  void saveLaunchMarks() {
     double now = loop.now();
-    if (reachBusy || now < reachAgainAt || cluster.reaching().isEmpty()) {
+    if (launchMarksBusy || now < launchMarksRetryAt || cluster.awaitingLaunchMark().isEmpty()) {
       return;
     }
     Map<Job, Integer> wanted = new LinkedHashMap<>();
-    for (Job job : cluster.reaching()) {
-      wanted.put(job, job.wantedReach());
-      reach.put(job.spec().id(), IntNode.valueOf(job.wantedReach()));
+    for (Job job : cluster.awaitingLaunchMark()) {
+      wanted.put(job, job.wantedLaunchMark());
+      launchMark.put(job.spec().id(), IntNode.valueOf(job.wantedLaunchMark()));
     }
     Txn txn = guarded();
-    Pages.Batch batch = reach.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+    PagedRecords.Batch batch = launchMark.addTo(txn, settings.txnOps(), MAX_TXN_BYTES);
     if (batch.isEmpty()) {
       return;
     }
     wanted.keySet().removeIf(job -> !batch.holds(job.spec().id()));
-    reachBusy = true;
-    reachAgainAt = now + settings.reportS() / REACH_WRITES;
+    launchMarksBusy = true;
+    launchMarksRetryAt = now + settings.reportS() / LAUNCH_MARK_WRITES;
     write(
         txn,
         batch,
         written -> {
-          reachBusy = false;
+          launchMarksBusy = false;
           if (written) {
-            wanted.forEach(cluster::reached);
-            leader.act();
+            wanted.forEach(cluster::launchMarkSaved);
+            leader.runDueWork();
           } else {
-            reachAgainAt = loop.now() + settings.reportS() / 10;
+            launchMarksRetryAt = loop.now() + settings.reportS() / 10;
           }
         });
   }
@@ -423,42 +423,43 @@
    * until that is taken back. So should the leader change then, only these tasks must wait for the
    * machine, and not all.
    */
-  void saveRoster() {
-    if (rosterBusy
-        || loop.now() < rosterAgainAt
-        || !cluster.roster().due() && !roster.splitting()) {
+  void saveRegistry() {
+    if (registryWriteInFlight
+        || loop.now() < registryRetryAt
+        || !cluster.registry().due() && !registry.splitting()) {
       return;
     }
-    for (Machine m : roster.splitting() ? List.<Machine>of() : cluster.roster().takeFrozen()) {
+    for (Machine m :
+        registry.splitting() ? List.<Machine>of() : cluster.registry().takeFrozenMachines()) {
       ObjectNode entry = entry();
       ArrayNode held = entry.putArray("Held");
       m.attempts().forEach(a -> held.add(a.task().toString()));
-      roster.replace(m.id(), entry);
+      registry.replace(m.id(), entry);
     }
     // Entries that are being moved are entered nowhere else meanwhile.
-    boolean splitting = roster.splitting();
-    List<Machine> added = splitting ? List.of() : cluster.roster().missing();
-    added.forEach(m -> roster.put(m.id(), entry()));
-    List<String> left = new ArrayList<>(cluster.roster().left());
-    left.forEach(roster::remove);
-    left.forEach(cluster.roster().left()::remove);
+    boolean splitting = registry.splitting();
+    List<Machine> added = splitting ? List.of() : cluster.registry().missing();
+    added.forEach(m -> registry.put(m.id(), entry()));
+    List<String> left = new ArrayList<>(cluster.registry().left());
+    left.forEach(registry::remove);
+    left.forEach(cluster.registry().left()::remove);
     Txn txn = guarded();
-    Pages.Batch batch = roster.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+    PagedRecords.Batch batch = registry.addTo(txn, settings.txnOps(), MAX_TXN_BYTES);
     if (batch.isEmpty()) {
       return;
     }
     List<Machine> entered = added.stream().filter(m -> batch.holds(m.id())).toList();
-    rosterBusy = true;
+    registryWriteInFlight = true;
     write(
         txn,
         batch,
         written -> {
-          rosterBusy = false;
+          registryWriteInFlight = false;
           if (written) {
-            cluster.roster().entered(entered);
-            leader.act();
+            cluster.registry().entered(entered);
+            leader.runDueWork();
           } else {
-            rosterAgainAt = loop.now() + settings.reportS() / 10;
+            registryRetryAt = loop.now() + settings.reportS() / 10;
           }
         });
   }
--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -92,11 +92,11 @@
               metrics.add(Metrics.Count.SUBMITTED, 1);
               metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
               if (accepted == Accepted.NEW) {
-                tell(id, Status.OPEN, 201, reply);
+                respond(id, Status.OPEN, 201, reply);
               } else {
                 // One of them may be cancelled already: then so is this one, and must not be called
                 // anything else.
-                store.look(id, status -> tell(id, status, 201, reply));
+                store.look(id, status -> respond(id, status, 201, reply));
               }
             }
             case KNOWN ->
@@ -104,16 +104,16 @@
                     id,
                     status -> {
                       if (status == Status.ABSENT) {
-                        unsure(reply);
+                        respondUnavailable(reply);
                       } else {
-                        tell(id, status, reply);
+                        respond(id, status, reply);
                       }
                     });
-            case OVERLOADED -> busy(reply);
+            case OVERLOADED -> respondBusy(reply);
             case MISSING ->
                 refuse(
                     id, 422, JobSpec.DEPENDENCIES + ": names a job that was never accepted", reply);
-            default -> unsure(reply);
+            default -> respondUnavailable(reply);
           }
         });
   }
@@ -153,7 +153,7 @@
               reply.error(verdict, problem);
             }
           } else {
-            tell(id, status, reply);
+            respond(id, status, reply);
           }
         });
   }
@@ -168,7 +168,7 @@
         id,
         status -> {
           metrics.took(Metrics.Latency.POLL, loop.now() - began);
-          tell(id, status, reply);
+          respond(id, status, reply);
         });
   }
 
@@ -177,14 +177,14 @@
       reply.error(404, "no such job");
       return;
     }
-    store.cancel(id, status -> tell(id, status, reply));
+    store.cancel(id, status -> respond(id, status, reply));
   }
 
-  private void tell(String id, Status status, Reply reply) {
-    tell(id, status, 200, reply);
+  private void respond(String id, Status status, Reply reply) {
+    respond(id, status, 200, reply);
   }
 
-  private void tell(String id, Status status, int accepted, Reply reply) {
+  private void respond(String id, Status status, int accepted, Reply reply) {
     ObjectNode o = Json.object().put("Uid", id);
     switch (status) {
       case OPEN -> {
@@ -198,17 +198,17 @@
       case DONE -> reply.json(accepted, o.put("Status", "done"));
       case CANCELLED -> reply.json(accepted, o.put("Status", "aborted"));
       case ABSENT -> reply.error(404, "no such job");
-      default -> unsure(reply);
+      default -> respondUnavailable(reply);
     }
   }
 
-  private void unsure(Reply reply) {
+  private void respondUnavailable(Reply reply) {
     LOG.debug("refused: the state service does not answer, or the request budget is spent");
     metrics.add(Metrics.Count.REFUSED, 1);
     reply.later(503, "the state service does not answer", SOON_S);
   }
 
-  void busy(Reply reply) {
+  void respondBusy(Reply reply) {
     LOG.debug("refused: overloaded");
     metrics.add(Metrics.Count.REFUSED, 1);
     reply.later(429, "too many requests", SOON_S);
--- a/src/main/java/org/saffronshore/fleet/Arrivals.java
+++ b/src/main/java/org/saffronshore/fleet/Arrivals.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.saffronshore.scheduling.Plan;
-import org.saffronshore.scheduling.Room;
+import org.saffronshore.scheduling.Resources;
 import org.saffronshore.wire.JobSpec;
 
 /** What jobs of each class look like and how often they come, as far as this term has seen. */
@@ -87,10 +87,10 @@
    * A typical job of every class that still comes: one that has not stayed away for several of its
    * usual gaps.
    */
-  public List<Expected> expected(double now, double leastGapS) {
+  public List<Expected> expected(double now, double minGapS) {
     List<Expected> all = new ArrayList<>();
     for (Seen s : classes.values()) {
-      double gap = Math.max(leastGapS, s.jobs < 2 ? 0 : (s.lastAt - s.firstAt) / (s.jobs - 1));
+      double gap = Math.max(minGapS, s.jobs < 2 ? 0 : (s.lastAt - s.firstAt) / (s.jobs - 1));
       if (now - s.lastAt < 3 * gap) {
         all.add(new Expected(s.example, (double) s.tasks / s.jobs));
       }
@@ -99,8 +99,8 @@
   }
 
   /** How many tasks like this one fit into some room. */
-  public static double fitting(Room room, JobSpec task) {
-    double n = task.cpus() > 0 ? Math.floor((room.cpus + 1e-6) / task.cpus()) : JobSpec.MOST_TASKS;
+  public static double fitting(Resources room, JobSpec task) {
+    double n = task.cpus() > 0 ? Math.floor((room.cpus + 1e-6) / task.cpus()) : JobSpec.MAX_TASKS;
     n = task.memoryGb() > 0 ? Math.min(n, Math.floor((room.memoryGb + 1e-6) / task.memoryGb())) : n;
     n = task.gpus() > 0 ? Math.min(n, Math.floor((room.gpus + 1e-6) / task.gpus())) : n;
     return Math.max(0, n);
--- a/src/main/java/org/saffronshore/fleet/Displaced.java
+++ b/src/main/java/org/saffronshore/fleet/DisplacedTasks.java
@@ -15,12 +15,12 @@
  * room for their like elsewhere, the ones that come after them go there, and the machines become
  * free for those that need them. A pure function.
  */
-public final class Displaced {
+public final class DisplacedTasks {
 
   /** So many tasks of a job run on machines of a type. */
   public record Running(String type, JobSpec job, int tasks) {}
 
-  private Displaced() {}
+  private DisplacedTasks() {}
 
   /**
    * @param scarce types of which the cloud has no machine left, of any kind
--- a/src/main/java/org/saffronshore/fleet/Forecast.java
+++ b/src/main/java/org/saffronshore/fleet/Forecast.java
@@ -6,7 +6,7 @@
 import java.util.PriorityQueue;
 import java.util.function.ToDoubleFunction;
 import org.saffronshore.scheduling.Plan;
-import org.saffronshore.scheduling.Room;
+import org.saffronshore.scheduling.Resources;
 import org.saffronshore.wire.JobSpec;
 
 /**
@@ -20,20 +20,20 @@
 
   /** A machine, with what is free on it now or when it is up, and what becomes free later. */
   public static final class Line {
-    private final Kind kind;
-    private final Room room;
+    private final MachineKind kind;
+    private final Resources room;
     private double openAt;
 
     /** The earliest last, so that it is taken off the end. */
     private final ArrayList<Release> releases = new ArrayList<>(4);
 
-    public Line(Kind kind, Room room, double openAt) {
+    public Line(MachineKind kind, Resources room, double openAt) {
       this.kind = kind;
       this.room = room;
       this.openAt = openAt;
     }
 
-    public Kind kind() {
+    public MachineKind kind() {
       return kind;
     }
 
@@ -62,7 +62,7 @@
         cpus += r.job.cpus();
         gpus += r.job.gpus();
         memoryGb += r.job.memoryGb();
-        if (Room.fits(job, cpus, gpus, memoryGb)) {
+        if (Resources.fits(job, cpus, gpus, memoryGb)) {
           return Math.max(openAt, r.at);
         }
       }
--- a/src/main/java/org/saffronshore/fleet/Kind.java
+++ b/src/main/java/org/saffronshore/fleet/MachineKind.java
@@ -3,7 +3,7 @@
 import org.saffronshore.wire.JobSpec;
 
 /** What a rental request names: a machine type, a zone, and whether it may be taken back. */
-public record Kind(String type, String zone, boolean spot) {
+public record MachineKind(String type, String zone, boolean spot) {
   /** Whether the job may use machines of this kind. */
   public boolean allows(JobSpec job) {
     return (!spot || job.spot())
--- a/src/main/java/org/saffronshore/fleet/FleetPlan.java
+++ b/src/main/java/org/saffronshore/fleet/RentalPlan.java
@@ -8,21 +8,21 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import org.saffronshore.scheduling.Plan;
-import org.saffronshore.scheduling.Room;
+import org.saffronshore.scheduling.Resources;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.MachineType;
 
 /** Works out what to rent for the tasks that found no place. A pure function. */
-public final class FleetPlan {
+public final class RentalPlan {
 
   /** A machine that the plan adds. */
   private static final class Bin {
-    final Kind kind;
-    final Room room;
+    final MachineKind kind;
+    final Resources room;
 
-    Bin(Kind kind, MachineType type) {
+    Bin(MachineKind kind, MachineType type) {
       this.kind = kind;
-      this.room = Room.of(type);
+      this.room = Resources.of(type);
     }
 
     /** Takes as many tasks of a job as it has room for; how many. */
@@ -37,13 +37,15 @@
   }
 
   private final Map<String, MachineType> types;
-  private final Predicate<Kind> available;
+  private final Predicate<MachineKind> available;
   private final Map<String, Integer> perZone;
   private final List<Bin> bins = new ArrayList<>();
-  private final Map<Kind, Integer> orders = new LinkedHashMap<>();
+  private final Map<MachineKind, Integer> orders = new LinkedHashMap<>();
 
-  private FleetPlan(
-      Map<String, MachineType> types, Predicate<Kind> available, Map<String, Integer> perZone) {
+  private RentalPlan(
+      Map<String, MachineType> types,
+      Predicate<MachineKind> available,
+      Map<String, Integer> perZone) {
     this.types = types;
     this.available = available;
     this.perZone = new HashMap<>(perZone);
@@ -53,12 +55,12 @@
    * @param perZone how many machines each zone has, so that new ones go where there are fewest
    * @param available whether the cloud is thought to have machines of a kind
    */
-  public static Map<Kind, Integer> orders(
+  public static Map<MachineKind, Integer> orders(
       Map<String, MachineType> types,
       List<Plan.Unmet> unmet,
       Map<String, Integer> perZone,
-      Predicate<Kind> available) {
-    FleetPlan plan = new FleetPlan(types, available, perZone);
+      Predicate<MachineKind> available) {
+    RentalPlan plan = new RentalPlan(types, available, perZone);
     // Large tasks first: small ones then fill the gaps, and fewer machines do.
     List<Plan.Unmet> groups = new ArrayList<>(unmet);
     groups.sort(Comparator.comparingDouble((Plan.Unmet u) -> -u.job().cpus()));
@@ -75,7 +77,7 @@
       left -= bin.fill(job, left);
     }
     while (left > 0) {
-      Kind kind = cheapest(groups, index, left);
+      MachineKind kind = cheapest(groups, index, left);
       if (kind == null) {
         return;
       }
@@ -91,16 +93,16 @@
    * The kind with the lowest price for what it would hold of the tasks that are left, from this
    * group on.
    */
-  private Kind cheapest(List<Plan.Unmet> groups, int index, int left) {
+  private MachineKind cheapest(List<Plan.Unmet> groups, int index, int left) {
     JobSpec job = groups.get(index).job();
-    Kind best = null;
+    MachineKind best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (MachineType type : types.values()) {
       if (!type.fits(job)) {
         continue;
       }
       for (int spot = 0; spot < 2; spot++) {
-        Kind kind = zoneFor(type, spot == 1, job);
+        MachineKind kind = zoneFor(type, spot == 1, job);
         if (kind == null) {
           continue;
         }
@@ -124,10 +126,10 @@
     return cpus;
   }
 
-  private Kind zoneFor(MachineType type, boolean spot, JobSpec job) {
-    Kind best = null;
+  private MachineKind zoneFor(MachineType type, boolean spot, JobSpec job) {
+    MachineKind best = null;
     for (String zone : type.zones()) {
-      Kind kind = new Kind(type.name(), zone, spot);
+      MachineKind kind = new MachineKind(type.name(), zone, spot);
       if (kind.allows(job)
           && available.test(kind)
           && (best == null
--- a/src/main/java/org/saffronshore/http/HttpClient.java
+++ b/src/main/java/org/saffronshore/http/HttpClient.java
@@ -34,7 +34,7 @@
  */
 public final class HttpClient implements Client {
   /** Watches of the state service have no size limit; this bounds what a node takes into memory. */
-  private static final int MOST_ANSWER = 16 * 1024 * 1024;
+  private static final int MAX_ANSWER = 16 * 1024 * 1024;
 
   /**
    * Idle connections are closed after this time: machines come and go, and one that is gone closes
@@ -68,7 +68,7 @@
                   @Override
                   protected void initChannel(SocketChannel ch) {
                     ch.pipeline()
-                        .addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER));
+                        .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER));
                   }
                 });
   }
--- a/src/main/java/org/saffronshore/http/HttpServer.java
+++ b/src/main/java/org/saffronshore/http/HttpServer.java
@@ -31,7 +31,7 @@
 /** Serves HTTP/1.1 on one address. Connections stay open between requests. */
 public final class HttpServer {
   /** The longest body that the protocol lets anyone send. */
-  public static final int MOST_BODY = 64 * 1024;
+  public static final int MAX_BODY = 64 * 1024;
 
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
   private final BiConsumer<Request, Reply> handler;
@@ -83,13 +83,13 @@
    */
   private static final class Aggregator extends HttpObjectAggregator {
     Aggregator() {
-      super(MOST_BODY);
+      super(MAX_BODY);
     }
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage message) {
       String uri = message instanceof HttpRequest r ? r.uri() : "?";
-      LOG.info("refused a request to {}: its body is longer than {} bytes", uri, MOST_BODY);
+      LOG.info("refused a request to {}: its body is longer than {} bytes", uri, MAX_BODY);
       write(ctx, true, 400, Reply.JSON, "{\"error\":\"the body is too long\"}".getBytes(), 0);
     }
   }
--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -14,15 +14,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Who leads. The leader holds a key that hangs on a permit of the state service; in the transaction
- * that sets the key, the term is raised, and the term is the token that fences commands to workers.
- * A leader acts while its permit provably lives, counted from when it sent the last renewal that
- * succeeded, on a clock that may run slow; beyond that only while a majority of controllers gives
- * it time, see {@link Grants}.
+ * Leader election. The leader holds a key attached to a lease of the state service. The transaction
+ * that sets the key raises the term, and the term is the fencing token of commands to workers. A
+ * leader is active while its lease provably lives, counted from when it sent the last renewal that
+ * succeeded, on a clock that may run slow; beyond that only while a quorum of controllers grants it
+ * their leases, see {@link LeaseGrants}.
  *
- * <p>A new leader needs the free key, and either a majority's time or proof that the last leader's
- * process is over. So whatever let the last one act is over before the new one acts for the first
- * time.
+ * <p>A new leader needs the free key, and either the leases of a quorum or proof that the last
+ * leader's process has ended. So whatever let the last leader act is over before the new one acts.
  */
 public final class Leadership {
 
@@ -40,8 +39,8 @@
   private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
 
   /**
-   * A permit lives for this share of a worker's lease, so that a new leader is there before leases
-   * run out.
+   * The life of the leader's lease as a share of a worker's lease: a new leader has to be there
+   * before the leases of workers run out.
    */
   private static final double LIFE_PER_LEASE = 1.0 / 5;
 
@@ -52,17 +51,17 @@
   private final Settings settings;
   private final RandomGenerator random;
   private final Listener listener;
-  private final Ballot ballot;
-  private final Grants grants;
-  private final StateBallot stateBallot;
+  private final PeerVoting peerVoting;
+  private final LeaseGrants leaseGrants;
+  private final StateServiceVoting stateServiceVoting;
   private final double lifeS;
 
-  /** Tells this life of the process from earlier ones of the same node. */
+  /** Distinguishes this process from earlier ones of the same node. */
   private final String incarnation;
 
   private boolean leading;
-  private boolean standing;
-  private long permit;
+  private boolean campaigning;
+  private long lease;
   private long term;
   private long keyVersion;
   private double validUntil = Double.NEGATIVE_INFINITY;
@@ -70,12 +69,12 @@
   private String leaderNode;
   private long leaderTerm = -1;
 
-  /** Tries in a row in which most peers said nothing at all. */
+  /** Campaigns in a row in which most peers did not answer. */
   private int unreached;
 
   private long watchFrom = -1;
-  private double keepsAliveUntil = Double.NEGATIVE_INFINITY;
-  private double standAgainAt = Double.NEGATIVE_INFINITY;
+  private double renewalsAllowedUntil = Double.NEGATIVE_INFINITY;
+  private double campaignAgainAt = Double.NEGATIVE_INFINITY;
 
   public Leadership(
       Loop loop,
@@ -83,7 +82,7 @@
       Settings settings,
       RandomGenerator random,
       Listener listener,
-      Ballot ballot) {
+      PeerVoting peerVoting) {
     this.loop = loop;
     this.state = state;
     this.settings = settings;
@@ -91,30 +90,31 @@
     this.listener = listener;
     this.lifeS = Math.max(0.1, settings.leaseS() * LIFE_PER_LEASE);
     this.incarnation = Long.toHexString(random.nextLong());
-    this.ballot = ballot;
-    this.grants = new Grants(loop, lifeS, settings.controllers());
-    this.stateBallot = new StateBallot(loop, state, settings.node(), incarnation, lifeS / 2);
+    this.peerVoting = peerVoting;
+    this.leaseGrants = new LeaseGrants(loop, lifeS, settings.controllers());
+    this.stateServiceVoting =
+        new StateServiceVoting(loop, state, settings.node(), incarnation, lifeS / 2);
   }
 
   public void start() {
     readLeader();
   }
 
-  /** Whether nobody else may act: by its permit, or by its peers' time. */
-  public boolean entitled() {
+  /** Whether no other node may act, by the store lease or by the leases of a quorum. */
+  public boolean holdsLease() {
     double now = loop.now();
-    return leading && (now < validUntil || now < grants.heldUntil());
+    return leading && (now < validUntil || now < leaseGrants.quorumLeaseUntil());
   }
 
   /**
    * Whether this node may act for the controllers at this moment: also, whether it knows enough to.
    */
-  public boolean acting() {
-    return entitled() && loop.now() < keepsAliveUntil;
+  public boolean isActive() {
+    return holdsLease() && loop.now() < renewalsAllowedUntil;
   }
 
-  /** Whether the permit itself is known to live, not only the time that the peers give. */
-  public boolean permitted() {
+  /** Whether the store lease itself is known to live, and not only the leases of a quorum. */
+  public boolean holdsStoreLease() {
     return leading && loop.now() < validUntil;
   }
 
@@ -122,40 +122,40 @@
    * Whatever lets this node lead, from this moment on it renews no lease and launches nothing: by
    * then it might keep a task alive for too long whose cancellation it does not know.
    */
-  public void keepAliveUntil(double until) {
-    keepsAliveUntil = until;
+  public void allowRenewalsUntil(double until) {
+    renewalsAllowedUntil = until;
   }
 
   public String incarnation() {
     return incarnation;
   }
 
-  /** Time that a peer gave to this leader when asked at that moment. */
-  public void granted(String peer, double askedAt) {
+  /** A peer granted its lease to this leader, which had asked at that moment. */
+  public void recordGrant(String peer, double askedAt) {
     if (leading) {
-      grants.held(peer, askedAt);
+      leaseGrants.held(peer, askedAt);
     }
   }
 
   /**
-   * Whether this node gives a peer time to lead. Time is for when the state service is away for
-   * all: a leader that it refuses alone, or whose key is gone, gets none.
+   * Whether this node grants its lease to a peer. Leases are for when the state service is away for
+   * everybody: a leader that it refuses alone, or whose key is gone, gets none.
    */
-  public boolean give(
+  public boolean grant(
       String node,
       String life,
       long askedTerm,
       boolean candidate,
       boolean peerServed,
       boolean served) {
-    if (entitled() || served && (!peerServed || !candidate && askedTerm != leaderTerm)) {
+    if (holdsLease() || served && (!peerServed || !candidate && askedTerm != leaderTerm)) {
       return false;
     }
-    return grants.give(node, life, askedTerm);
+    return leaseGrants.grant(node, life, askedTerm);
   }
 
-  public void peerGaveUp(String node, String life, long askedTerm) {
-    grants.giveUp(node, life, askedTerm);
+  public void peerWithdrew(String node, String life, long askedTerm) {
+    leaseGrants.withdraw(node, life, askedTerm);
   }
 
   public boolean leading() {
@@ -172,19 +172,19 @@
 
   /** The node that leads as far as is known here, or null. */
   public String leaderNode() {
-    return leading ? (acting() ? settings.node() : null) : leaderNode;
+    return leading ? (isActive() ? settings.node() : null) : leaderNode;
   }
 
   /**
-   * Long and at random against the time that a question to the peers takes, so that one stands
-   * before the others.
+   * A random pause that is long against a round of votes, so that one candidate is ahead of the
+   * others.
    */
   private double pause() {
     return lifeS / 10 * (0.5 + random.nextDouble());
   }
 
   private void readLeader() {
-    if (leading || standing) {
+    if (leading || campaigning) {
       return;
     }
     state.get(
@@ -198,11 +198,10 @@
             leaderTerm = Json.count(value, "Term", -1);
             if (settings.node().equals(leaderNode)
                 && !incarnation.equals(Json.text(value, "Life"))) {
-              // The key is of an earlier life of this very process, which is over: it need not be
-              // waited out.
+              // The key belongs to an earlier incarnation of this node: it need not be waited out.
               leaderNode = null;
               LOG.info(
-                  "ending the permit {} of an earlier life of this node",
+                  "ending the lease {} of an earlier incarnation of this node",
                   Json.count(body, "Permit", 0));
               state.release(
                   Json.count(body, "Permit", 0),
@@ -214,10 +213,10 @@
           } else if (answer.status() == 404 && body != null) {
             leaderNode = null;
             leaderTerm = -1;
-            if (loop.now() < standAgainAt) {
+            if (loop.now() < campaignAgainAt) {
               loop.after(pause(), this::readLeader);
             } else {
-              stand();
+              campaign();
             }
           } else {
             leaderNode = null;
@@ -249,124 +248,123 @@
         });
   }
 
-  private void stand() {
-    standing = true;
+  private void campaign() {
+    campaigning = true;
     state.get(
         Keys.TERM,
         true,
         read -> {
           JsonNode old = read.json();
           if (!read.ok() && read.status() != 404 || old == null) {
-            lost(0);
+            abandonCampaign(0);
             return;
           }
           JsonNode last = old.path("Data");
           long lastTerm = read.ok() ? Json.count(last, "Term", 0) : 0;
           long version = read.ok() ? Json.count(old, "Stamp", 0) : 0;
-          // Its own time first: two that give theirs to each other, or several that split the
-          // votes, all fail.
-          boolean own = grants.give(settings.node(), incarnation, lastTerm + 1);
-          if (!own && grants.givenAway(settings.node(), incarnation, lastTerm + 1)) {
-            // Another one stands, and has it.
+          // Its own lease first: two that grant theirs to each other, or a split vote, all fail.
+          boolean own = leaseGrants.grant(settings.node(), incarnation, lastTerm + 1);
+          if (!own && leaseGrants.grantedToOther(settings.node(), incarnation, lastTerm + 1)) {
+            // Another candidate holds it.
             if (unreached > 1) {
-              standThroughState(lastTerm, version);
+              campaignThroughStateService(lastTerm, version);
             } else {
-              lost(0);
+              abandonCampaign(0);
             }
             return;
           }
           int ownVote = own ? 1 : 0;
-          ballot.ask(
+          peerVoting.requestVotes(
               lastTerm + 1,
               votes -> isOver(last, votes) || decided(votes, ownVote),
               votes -> {
                 if (isOver(last, votes)
                     || lastTerm == 0
-                    || given(votes) + ownVote >= grants.majority()) {
+                    || granted(votes) + ownVote >= leaseGrants.majority()) {
                   unreached = 0;
                   grant(lastTerm, version);
                   return;
                 }
                 LOG.debug(
-                    "{} has no majority for term {}: {} of {} that answered gave their time",
+                    "{} has no quorum for term {}: {} of {} that answered granted their leases",
                     settings.node(),
                     lastTerm + 1,
-                    given(votes),
+                    granted(votes),
                     votes.size());
-                giveUp(lastTerm + 1);
-                if (votes.size() + 1 < grants.majority() && ++unreached > 1) {
-                  standThroughState(lastTerm, version);
+                withdraw(lastTerm + 1);
+                if (votes.size() + 1 < leaseGrants.majority() && ++unreached > 1) {
+                  campaignThroughStateService(lastTerm, version);
                 } else {
-                  lost(0);
+                  abandonCampaign(0);
                 }
               });
         });
   }
 
   /**
-   * Whether what is not heard yet cannot change the outcome any more: the time of others is not
-   * held for it.
+   * Whether the missing votes cannot change the outcome: the leases of others are not held for
+   * them.
    */
-  private boolean decided(List<Ballot.Vote> votes, int own) {
-    long given = given(votes);
-    return given + own >= grants.majority()
-        || given + own + settings.peers().size() - votes.size() < grants.majority();
+  private boolean decided(List<PeerVoting.Vote> votes, int own) {
+    long granted = granted(votes);
+    return granted + own >= leaseGrants.majority()
+        || granted + own + settings.peers().size() - votes.size() < leaseGrants.majority();
   }
 
-  private void giveUp(long asked) {
-    grants.giveUp(settings.node(), incarnation, asked);
-    ballot.giveUp(asked);
+  private void withdraw(long asked) {
+    leaseGrants.withdraw(settings.node(), incarnation, asked);
+    peerVoting.withdraw(asked);
   }
 
   /**
-   * Without a way to most peers, but with the state service, a leader that is cut off could never
-   * be replaced.
+   * Where most peers cannot be reached, a leader that is cut off could not be replaced otherwise.
    */
-  private void standThroughState(long lastTerm, long termVersion) {
-    stateBallot.ask(
+  private void campaignThroughStateService(long lastTerm, long termVersion) {
+    stateServiceVoting.requestVotes(
         lastTerm + 1,
-        (node, life, asked) -> give(node, life, asked, true, true, true),
-        given -> given.size() + 1 >= grants.majority(),
-        given -> {
-          if (elected(lastTerm + 1, given.size())) {
+        (node, life, asked) -> grant(node, life, asked, true, true, true),
+        granted -> granted.size() + 1 >= leaseGrants.majority(),
+        granted -> {
+          if (elected(lastTerm + 1, granted.size())) {
             unreached = 0;
             grant(lastTerm, termVersion);
           } else {
-            lost(0);
+            abandonCampaign(0);
           }
         });
   }
 
   /**
-   * Whether the process that led last is over: another life of the same node has just answered, or
-   * is this one.
+   * Whether the process that led last has ended: another incarnation of the same node has just
+   * answered, or is this one.
    */
-  private boolean isOver(JsonNode last, List<Ballot.Vote> votes) {
+  private boolean isOver(JsonNode last, List<PeerVoting.Vote> votes) {
     String node = Json.text(last, "Node");
     String life = Json.text(last, "Life");
     return settings.node().equals(node)
         || votes.stream().anyMatch(v -> v.node().equals(node) && !v.life().equals(life));
   }
 
-  private static long given(List<Ballot.Vote> votes) {
-    return votes.stream().filter(Ballot.Vote::granted).count();
+  private static long granted(List<PeerVoting.Vote> votes) {
+    return votes.stream().filter(PeerVoting.Vote::recordGrant).count();
   }
 
-  private boolean elected(long next, long given) {
-    if (given + 1 < grants.majority()) {
+  private boolean elected(long next, long granted) {
+    if (granted + 1 < leaseGrants.majority()) {
       return false;
     }
-    return given >= grants.majority() || grants.give(settings.node(), incarnation, next);
+    return granted >= leaseGrants.majority()
+        || leaseGrants.grant(settings.node(), incarnation, next);
   }
 
   private void grant(long lastTerm, long termVersion) {
     double sentAt = loop.now();
     state.grant(
         lifeS,
-        granted -> {
-          JsonNode body = granted.ok() ? granted.json() : null;
+        recordGrant -> {
+          JsonNode body = recordGrant.ok() ? recordGrant.json() : null;
           if (body == null) {
-            lost(0);
+            abandonCampaign(0);
           } else {
             claim(Json.count(body, "Permit", 0), sentAt, lastTerm, termVersion);
           }
@@ -398,34 +396,33 @@
         answer -> {
           JsonNode body = answer.ok() ? answer.json() : null;
           if (body == null) {
-            // A claim whose answer was lost may still be carried out, but only as long as the
-            // permit lives.
-            lost(mine);
+            // A claim whose answer was lost may still be carried out, while the lease lives.
+            abandonCampaign(mine);
             return;
           }
-          standing = false;
+          campaigning = false;
           leading = true;
-          permit = mine;
+          lease = mine;
           term = next;
           keyVersion = Json.count(body, "Ledger", 0);
-          validUntil = sentAt + Settings.shrunk(lifeS);
-          keepsAliveUntil = Double.NEGATIVE_INFINITY;
-          grants.holdNone();
+          validUntil = sentAt + Settings.shortestLocalTime(lifeS);
+          renewalsAllowedUntil = Double.NEGATIVE_INFINITY;
+          leaseGrants.clearHeld();
           renewal++;
           LOG.info(
-              "{} leads term {}: the leader's key was free; permit {}",
+              "{} leads term {}: the leader's key was free; lease {}",
               settings.node(),
               term,
-              permit);
+              lease);
           listener.elected(term, keyVersion);
           renewLater(renewal);
         });
   }
 
-  private void lost(long mine) {
+  private void abandonCampaign(long mine) {
     Runnable again =
         () -> {
-          standing = false;
+          campaigning = false;
           readLeader();
         };
     if (mine == 0) {
@@ -448,17 +445,17 @@
   private void renew(int of) {
     double sentAt = loop.now();
     state.renew(
-        permit,
+        lease,
         Math.min(StateClient.TIMEOUT_S, lifeS / 2),
         answer -> {
           if (!leading || of != renewal) {
             return;
           }
           if (answer.ok()) {
-            validUntil = Math.max(validUntil, sentAt + Settings.shrunk(lifeS));
+            validUntil = Math.max(validUntil, sentAt + Settings.shortestLocalTime(lifeS));
             renewLater(of);
           } else if (answer.status() == 404) {
-            stepDown("its permit is over");
+            stepDown("its lease has expired");
           } else {
             missed(of, answer);
           }
@@ -466,10 +463,12 @@
   }
 
   private void missed(int of, Answer answer) {
-    if (!permitted()) {
-      // Not the end yet: after an outage of the state service the permit has its full time once
-      // more.
-      LOG.debug("renewal failed with {}; acting on the peers' time: {}", answer.status(), acting());
+    if (!holdsStoreLease()) {
+      // Not the end yet: after an outage of the state service every lease has its full time again.
+      LOG.debug(
+          "renewal failed with {}; active by the leases of a quorum: {}",
+          answer.status(),
+          isActive());
     }
     loop.after(
         lifeS / 20,
@@ -480,15 +479,13 @@
         });
   }
 
-  /** Steps down for others, and leaves them the time of a worker's lease before trying again. */
-  public void giveWay(String why) {
-    standAgainAt = loop.now() + settings.leaseS() / 2;
+  /** Steps down for the others, and lets them try for a while before it campaigns again. */
+  public void yieldLeadership(String why) {
+    campaignAgainAt = loop.now() + settings.leaseS() / 2;
     stepDown(why);
   }
 
-  /**
-   * Gives the leadership up, on proof that it is gone or because another node would serve better.
-   */
+  /** Steps down: the leadership is provably gone, or another node would serve better. */
   public void stepDown(String why) {
     if (!leading) {
       return;
@@ -497,11 +494,11 @@
     leading = false;
     renewal++;
     validUntil = Double.NEGATIVE_INFINITY;
-    grants.holdNone();
+    leaseGrants.clearHeld();
     leaderNode = null;
     leaderTerm = -1;
     listener.deposed(why);
-    ballot.giveUp(term);
-    state.release(permit, released -> loop.after(lifeS / 2, this::readLeader));
+    peerVoting.withdraw(term);
+    state.release(lease, released -> loop.after(lifeS / 2, this::readLeader));
   }
 }
--- a/src/main/java/org/saffronshore/leadership/StateBallot.java
+++ b/src/main/java/org/saffronshore/leadership/StateServiceVoting.java
@@ -12,21 +12,21 @@
 import org.saffronshore.wire.Json;
 
 /**
- * Asks for time through the state service, for when the controllers do not reach one another
- * although it serves them. A candidate writes down that it asks; the others find that when they
- * want to stand themselves, give it their time as they would if it had asked them, and write that
- * down. What was given for an earlier call does not count.
+ * Requests votes through the state service, for when the controllers do not reach one another
+ * although it serves them. A candidate writes down its request. The others find it when they want
+ * to campaign themselves, grant it their leases as they would if it had asked them directly, and
+ * write down their votes. A vote for an earlier request does not count.
  */
-final class StateBallot {
+final class StateServiceVoting {
   private static final int LOOKS = 5;
 
-  /** A call that is seen this often without any change is of one that is gone. */
+  /** After this many readings without a change, the candidate of a request counts as gone. */
   private static final int STALE = 3;
 
-  /** Gives the time of this node to a life of another one. */
+  /** Grants this node's lease to an incarnation of another one. */
   @FunctionalInterface
-  interface Giver {
-    boolean give(String node, String life, long term);
+  interface Granter {
+    boolean grant(String node, String life, long term);
   }
 
   private final Loop loop;
@@ -38,7 +38,7 @@
   private String seenCall = "";
   private int seen;
 
-  StateBallot(Loop loop, StateClient state, String node, String life, double roundS) {
+  StateServiceVoting(Loop loop, StateClient state, String node, String life, double roundS) {
     this.loop = loop;
     this.state = state;
     this.node = node;
@@ -46,8 +46,9 @@
     this.roundS = roundS;
   }
 
-  /** Tells which nodes gave this one their time; none when another one asks that goes before it. */
-  void ask(long term, Giver giver, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
+  /** Tells which nodes voted for this one; none when another candidate has precedence. */
+  void requestVotes(
+      long term, Granter giver, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
     state.get(
         Keys.CALL,
         true,
@@ -56,14 +57,14 @@
           if (body == null && answer.status() != 404) {
             then.accept(Set.of());
           } else if (body != null && goesFirst(body.path("Data"), term)) {
-            give(body, term, giver, () -> then.accept(Set.of()));
+            grant(body, term, giver, () -> then.accept(Set.of()));
           } else {
             call(term, body == null ? 0 : Json.count(body, "Stamp", -1), enough, then);
           }
         });
   }
 
-  /** Of two that ask, the one with the lesser name goes first, as long as it goes on asking. */
+  /** Of two candidates the lesser name has precedence, as long as it keeps requesting. */
   private boolean goesFirst(JsonNode call, long term) {
     String by = Json.text(call, "Node");
     if (by == null || by.compareTo(node) >= 0 || Json.count(call, "Term", -1) != term) {
@@ -75,15 +76,15 @@
     return seen <= STALE;
   }
 
-  private void give(JsonNode entry, long term, Giver giver, Runnable then) {
+  private void grant(JsonNode entry, long term, Granter giver, Runnable then) {
     JsonNode call = entry.path("Data");
     String to = Json.text(call, "Node");
     String toLife = Json.text(call, "Life");
-    if (toLife == null || !giver.give(to, toLife, term)) {
+    if (toLife == null || !giver.grant(to, toLife, term)) {
       then.run();
       return;
     }
-    // Carried out late, it must not stand in the place of a vote for a later call.
+    // If it is carried out late, it must not replace a vote for a later request.
     Txn txn =
         new Txn()
             .guard(Keys.CALL, Json.count(entry, "Stamp", -1))
@@ -132,7 +133,7 @@
         Keys.VOTES,
         true,
         votes -> {
-          Set<String> given = new HashSet<>();
+          Set<String> granted = new HashSet<>();
           if (votes != null) {
             for (StateClient.Entry e : votes.entries()) {
               JsonNode v = e.value();
@@ -140,12 +141,12 @@
                   && node.equals(Json.text(v, "To"))
                   && life.equals(Json.text(v, "Life"))
                   && Json.count(v, "N", -1) == number) {
-                given.add(e.key().substring(Keys.VOTES.length()));
+                granted.add(e.key().substring(Keys.VOTES.length()));
               }
             }
           }
-          if (enough.test(given) || looks >= LOOKS) {
-            then.accept(given);
+          if (enough.test(granted) || looks >= LOOKS) {
+            then.accept(granted);
           } else {
             loop.after(roundS / LOOKS, () -> look(term, number, looks + 1, enough, then));
           }
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -22,7 +22,7 @@
 public final class Cycle {
 
   /** A queue entry: a pending job, or one evicted task that may only return to its own host. */
-  private record Entry(Pending pending, Slot evicted, Host home) {
+  private record Entry(PendingJob pending, HostedTask evicted, Host home) {
     JobSpec job() {
       return evicted != null ? evicted.job() : pending.job;
     }
@@ -34,15 +34,16 @@
 
   private final Collection<Host> hosts;
   private final Map<String, Team> teams;
-  private final Tuning tuning;
+  private final SchedulingSettings tuning;
   private final Map<String, List<Entry>> queues = new LinkedHashMap<>();
   private final List<Plan.Placement> placements = new ArrayList<>();
   private final List<Plan.Stop> stops = new ArrayList<>();
-  private final Map<Pending, Integer> unmet = new LinkedHashMap<>();
+  private final Map<PendingJob, Integer> unmet = new LinkedHashMap<>();
   private final double now;
-  private final Failures failures = new Failures();
+  private final FailedPlacements failures = new FailedPlacements();
 
-  private Cycle(Collection<Host> hosts, Map<String, Team> teams, Tuning tuning, double now) {
+  private Cycle(
+      Collection<Host> hosts, Map<String, Team> teams, SchedulingSettings tuning, double now) {
     this.hosts = hosts;
     this.teams = teams;
     this.tuning = tuning;
@@ -52,9 +53,9 @@
   /** Runs a cycle; only one with {@code evict} reconsiders tasks that are running. */
   public static Plan run(
       Collection<Host> hosts,
-      Collection<Pending> jobs,
+      Collection<PendingJob> jobs,
       Map<String, Team> teams,
-      Tuning tuning,
+      SchedulingSettings tuning,
       boolean evict,
       RandomGenerator random,
       double now) {
@@ -69,13 +70,13 @@
     return new Plan(cycle.placements, cycle.stops, left);
   }
 
-  private void queue(Collection<Pending> jobs) {
-    List<Pending> ordered = new ArrayList<>(jobs);
+  private void queue(Collection<PendingJob> jobs) {
+    List<PendingJob> ordered = new ArrayList<>(jobs);
     ordered.sort(
-        Comparator.comparing((Pending p) -> !p.isOverdue())
+        Comparator.comparing((PendingJob p) -> !p.isOverdue())
             .thenComparing(p -> -p.job.priority().ordinal())
             .thenComparing(p -> p.order));
-    for (Pending p : ordered) {
+    for (PendingJob p : ordered) {
       if (!p.isEmpty() && teams.containsKey(p.job.team())) {
         queues.computeIfAbsent(p.job.team(), t -> new ArrayList<>()).add(new Entry(p, null, null));
       }
@@ -104,7 +105,7 @@
       if (random.nextDouble() >= tuning.evictionProbability()) {
         continue;
       }
-      for (Slot slot : List.copyOf(host.slots)) {
+      for (HostedTask slot : List.copyOf(host.slots)) {
         Team owner = teams.get(slot.job().team());
         if (owner == null
             || starved.contains(slot.job().team())
@@ -197,7 +198,7 @@
       }
       return true;
     }
-    Pending pending = entry.pending;
+    PendingJob pending = entry.pending;
     if (!team.withinLimit(job)) {
       return true;
     }
@@ -231,7 +232,7 @@
    * empty machines before shared ones; here every second of a machine is paid for, and one that
    * stays empty can be returned.
    */
-  private Host choose(Pending pending, TaskId task) {
+  private Host choose(PendingJob pending, TaskId task) {
     JobSpec job = pending.job;
     if (failures.noRoom(job)) {
       return null;
@@ -260,7 +261,7 @@
    * nowhere, the machine with the most room for it takes nothing else in this cycle. Small tasks
    * would fill every gap before it is large enough.
    */
-  private void keepRoom(Pending pending, TaskId task) {
+  private void keepRoom(PendingJob pending, TaskId task) {
     Host most = null;
     for (Host host : hosts) {
       if (host.cpus + 1e-6 >= pending.job.cpus()
@@ -304,14 +305,14 @@
    * Makes room on the host where that wastes the least work, by stops that the protocol allows;
    * null if nowhere.
    */
-  private Host preempt(Pending pending, TaskId task, Team team) {
+  private Host preempt(PendingJob pending, TaskId task, Team team) {
     JobSpec job = pending.job;
     boolean guaranteed = team.withinGuarantee(job);
     if (failures.noVictims(job, guaranteed)) {
       return null;
     }
     Host best = null;
-    List<Slot> bestVictims = null;
+    List<HostedTask> bestVictims = null;
     double bestLoss = Double.POSITIVE_INFINITY;
     boolean narrowed = false;
     for (Host host : hosts) {
@@ -324,7 +325,7 @@
         narrowed = true;
         continue;
       }
-      List<Slot> victims = victims(host, job, guaranteed);
+      List<HostedTask> victims = victims(host, job, guaranteed);
       double loss =
           victims == null
               ? Double.POSITIVE_INFINITY
@@ -341,7 +342,7 @@
       }
       return null;
     }
-    for (Slot victim : bestVictims) {
+    for (HostedTask victim : bestVictims) {
       best.leave(victim);
       teams.get(victim.job().team()).share(victim.job(), tuning, -1);
       stops.add(
@@ -354,9 +355,9 @@
     return best;
   }
 
-  private List<Slot> victims(Host host, JobSpec job, boolean guaranteed) {
-    List<Slot> candidates = new ArrayList<>();
-    for (Slot slot : host.slots) {
+  private List<HostedTask> victims(Host host, JobSpec job, boolean guaranteed) {
+    List<HostedTask> candidates = new ArrayList<>();
+    for (HostedTask slot : host.slots) {
       Team owner = teams.get(slot.job().team());
       if (owner == null) {
         continue;
@@ -370,18 +371,19 @@
         candidates.add(slot);
       }
     }
-    candidates.sort(Comparator.comparingDouble((Slot s) -> s.lostS(now) * tuning.cost(s.job())));
-    Room room = host.room.copy();
-    List<Slot> victims = new ArrayList<>();
-    Map<String, Room> taken = new HashMap<>();
-    for (Slot slot : candidates) {
+    candidates.sort(
+        Comparator.comparingDouble((HostedTask s) -> s.lostS(now) * tuning.cost(s.job())));
+    Resources room = host.room.copy();
+    List<HostedTask> victims = new ArrayList<>();
+    Map<String, Resources> taken = new HashMap<>();
+    for (HostedTask slot : candidates) {
       if (room.fits(job)) {
         break;
       }
       boolean lower =
           slot.job().priority().ordinal() < job.priority().ordinal()
               && (guaranteed || slot.job().team().equals(job.team()));
-      Room sum = taken.computeIfAbsent(slot.job().team(), t -> new Room(0, 0, 0));
+      Resources sum = taken.computeIfAbsent(slot.job().team(), t -> new Resources(0, 0, 0));
       sum.give(slot.job());
       Team owner = teams.get(slot.job().team());
       // Several victims of one team may together reach into its guarantee even if none does alone.
--- a/src/main/java/org/saffronshore/scheduling/Failures.java
+++ b/src/main/java/org/saffronshore/scheduling/FailedPlacements.java
@@ -11,7 +11,7 @@
  * least as much, and may go to no more machines, need not be tried: with a long queue on a full
  * cluster, that is most of the work.
  */
-final class Failures {
+final class FailedPlacements {
   private final List<JobSpec> noRoom = new ArrayList<>();
   private final Set<Try> noVictims = new HashSet<>();
 
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.saffronshore.fleet.Kind;
+import org.saffronshore.fleet.MachineKind;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.TaskId;
 
@@ -18,11 +18,11 @@
  */
 public final class Host {
   public final String id;
-  public final Kind kind;
+  public final MachineKind kind;
   final double cpus;
-  public final Room free;
-  public final Room room;
-  final List<Slot> slots = new ArrayList<>();
+  public final Resources free;
+  public final Resources room;
+  final List<HostedTask> slots = new ArrayList<>();
   final Map<String, Integer> teams = new HashMap<>(8);
   private final Predicate<TaskId> barred;
   private final Set<String> images;
@@ -37,7 +37,12 @@
    * @param barred tasks that may not be put here
    * @param images what it holds; may change between cycles, but not in one
    */
-  public Host(String id, Kind kind, Room capacity, Predicate<TaskId> barred, Set<String> images) {
+  public Host(
+      String id,
+      MachineKind kind,
+      Resources capacity,
+      Predicate<TaskId> barred,
+      Set<String> images) {
     this.id = id;
     this.kind = kind;
     this.cpus = capacity.cpus;
@@ -48,7 +53,7 @@
   }
 
   /** Puts a task that is there already. */
-  public void add(Slot slot) {
+  public void add(HostedTask slot) {
     free.take(slot.job());
     if (!slot.stopping()) {
       room.take(slot.job());
@@ -75,7 +80,7 @@
     return teams.size() > 1 || teams.size() == 1 && !teams.containsKey(team);
   }
 
-  void leave(Slot slot) {
+  void leave(HostedTask slot) {
     touched = true;
     room.give(slot.job());
     slots.remove(slot);
--- a/src/main/java/org/saffronshore/scheduling/Slot.java
+++ b/src/main/java/org/saffronshore/scheduling/HostedTask.java
@@ -9,9 +9,9 @@
  * @param since when it began to run, NaN as long as it does not
  * @param kept whether it is not to be stopped for others
  */
-public record Slot(TaskId task, JobSpec job, boolean stopping, double since, boolean kept) {
+public record HostedTask(TaskId task, JobSpec job, boolean stopping, double since, boolean kept) {
 
-  public Slot(TaskId task, JobSpec job, boolean stopping, double since) {
+  public HostedTask(TaskId task, JobSpec job, boolean stopping, double since) {
     this(task, job, stopping, since, false);
   }
 
--- a/src/main/java/org/saffronshore/scheduling/Pending.java
+++ b/src/main/java/org/saffronshore/scheduling/PendingJob.java
@@ -6,7 +6,7 @@
 import org.saffronshore.wire.JobSpec;
 
 /** A job with tasks that may be placed now, and where its other tasks are or may be. */
-public final class Pending {
+public final class PendingJob {
   public final JobSpec job;
 
   /** Submission order. */
@@ -22,7 +22,7 @@
    * @param tasks which tasks wait; only read, and not to be changed while the cycle runs
    * @param perZone how many of its other tasks each zone has, where the job's rules ask for that
    */
-  public Pending(JobSpec job, long order, BitSet tasks, Map<String, Integer> perZone) {
+  public PendingJob(JobSpec job, long order, BitSet tasks, Map<String, Integer> perZone) {
     this.job = job;
     this.order = order;
     this.tasks = tasks;
@@ -32,7 +32,7 @@
   }
 
   /** The job has waited for very long, and nothing of it has ever run. */
-  public Pending overdue() {
+  public PendingJob overdue() {
     overdue = true;
     return this;
   }
--- a/src/main/java/org/saffronshore/scheduling/Room.java
+++ b/src/main/java/org/saffronshore/scheduling/Resources.java
@@ -4,25 +4,25 @@
 import org.saffronshore.wire.MachineType;
 
 /** An amount of each resource; mutable scratch space of the cycle and of the fleet's plan. */
-public final class Room {
-  private static final double CRUMB = 1e-6;
+public final class Resources {
+  private static final double EPSILON = 1e-6;
   public double cpus;
   public double gpus;
   public double memoryGb;
 
-  public Room(double cpus, double gpus, double memoryGb) {
+  public Resources(double cpus, double gpus, double memoryGb) {
     this.cpus = cpus;
     this.gpus = gpus;
     this.memoryGb = memoryGb;
   }
 
   /** All that a machine of a type has. */
-  public static Room of(MachineType type) {
-    return new Room(type.cpus(), type.gpus(), type.memoryGb());
+  public static Resources of(MachineType type) {
+    return new Resources(type.cpus(), type.gpus(), type.memoryGb());
   }
 
-  public Room copy() {
-    return new Room(cpus, gpus, memoryGb);
+  public Resources copy() {
+    return new Resources(cpus, gpus, memoryGb);
   }
 
   public boolean fits(JobSpec job) {
@@ -30,9 +30,9 @@
   }
 
   public static boolean fits(JobSpec job, double cpus, double gpus, double memoryGb) {
-    return cpus + CRUMB >= job.cpus()
-        && gpus + CRUMB >= job.gpus()
-        && memoryGb + CRUMB >= job.memoryGb();
+    return cpus + EPSILON >= job.cpus()
+        && gpus + EPSILON >= job.gpus()
+        && memoryGb + EPSILON >= job.memoryGb();
   }
 
   public void take(JobSpec job) {
@@ -51,7 +51,7 @@
     memoryGb += job.memoryGb() * tasks;
   }
 
-  public void give(Room other) {
+  public void give(Resources other) {
     cpus += other.cpus;
     gpus += other.gpus;
     memoryGb += other.memoryGb;
--- a/src/main/java/org/saffronshore/scheduling/Team.java
+++ b/src/main/java/org/saffronshore/scheduling/Team.java
@@ -5,7 +5,7 @@
 
 /** A team during one cycle: its rights, and what its tasks use or may be using. */
 public final class Team {
-  private static final double CRUMB = 1e-6;
+  private static final double EPSILON = 1e-6;
   final Settings.Team rights;
   final double weight;
   double cpus;
@@ -23,7 +23,7 @@
   }
 
   /** Counts a task that is on a machine, or is being put there. */
-  public void use(JobSpec job, Tuning tuning) {
+  public void use(JobSpec job, SchedulingSettings tuning) {
     share(job, tuning, 1);
     heldCpus += job.cpus();
     heldGpus += job.gpus();
@@ -33,14 +33,14 @@
    * Counts a task into the team's share, or out of it. The limit is about what is on machines, not
    * about shares.
    */
-  void share(JobSpec job, Tuning tuning, int sign) {
+  void share(JobSpec job, SchedulingSettings tuning, int sign) {
     cpus += sign * job.cpus();
     gpus += sign * job.gpus();
     cost += sign * tuning.cost(job);
   }
 
   /** Counts what may be running without anybody knowing which task it is. */
-  public void maybe(double maybeCpus, double maybeGpus) {
+  public void addPossible(double maybeCpus, double maybeGpus) {
     cpus += maybeCpus;
     gpus += maybeGpus;
     heldCpus += maybeCpus;
@@ -51,33 +51,33 @@
    * Counts against the limit only what may be running of jobs that are over, which nobody can name
    * any more.
    */
-  public void mayHold(double moreCpus, double moreGpus) {
+  public void addPossiblyHeld(double moreCpus, double moreGpus) {
     heldCpus += moreCpus;
     heldGpus += moreGpus;
   }
 
   boolean withinLimit(JobSpec job) {
-    return (rights.cpusMax() <= 0 || heldCpus + job.cpus() <= rights.cpusMax() + CRUMB)
-        && (rights.gpusMax() <= 0 || heldGpus + job.gpus() <= rights.gpusMax() + CRUMB);
+    return (rights.cpusMax() <= 0 || heldCpus + job.cpus() <= rights.cpusMax() + EPSILON)
+        && (rights.gpusMax() <= 0 || heldGpus + job.gpus() <= rights.gpusMax() + EPSILON);
   }
 
   /** How many more of such tasks the limit lets in. */
   int tasksWithinLimit(JobSpec job, int most) {
     return rights.cpusMax() <= 0 || job.cpus() <= 0
         ? most
-        : (int) Math.min(most, (rights.cpusMax() - heldCpus) / job.cpus() + CRUMB);
+        : (int) Math.min(most, (rights.cpusMax() - heldCpus) / job.cpus() + EPSILON);
   }
 
   boolean withinGuarantee(JobSpec job) {
     return (rights.cpus() > 0 || rights.gpus() > 0)
-        && cpus + job.cpus() <= rights.cpus() + CRUMB
-        && gpus + job.gpus() <= rights.gpus() + CRUMB;
+        && cpus + job.cpus() <= rights.cpus() + EPSILON
+        && gpus + job.gpus() <= rights.gpus() + EPSILON;
   }
 
   /** Whether the team, without this task of its own, would still have all that it is guaranteed. */
   boolean beyondGuarantee(JobSpec job) {
-    return (rights.cpus() <= 0 || cpus - job.cpus() >= rights.cpus() - CRUMB)
-        && (rights.gpus() <= 0 || gpus - job.gpus() >= rights.gpus() - CRUMB);
+    return (rights.cpus() <= 0 || cpus - job.cpus() >= rights.cpus() - EPSILON)
+        && (rights.gpus() <= 0 || gpus - job.gpus() >= rights.gpus() - EPSILON);
   }
 
   /** The fraction of its fair share that the team would have with one more task of this cost. */
--- a/src/main/java/org/saffronshore/state/JobCache.java
+++ b/src/main/java/org/saffronshore/state/JobCache.java
@@ -31,7 +31,7 @@
    */
   record Closure(Set<String> open, List<String> unread, boolean cancelled) {}
 
-  private final Map<String, JobRecord> records = new BoundedMap<>();
+  private final Map<String, JobRecord> termStore = new BoundedMap<>();
   private final Map<String, Status> ends = new BoundedMap<>();
 
   private static final class BoundedMap<V> extends LinkedHashMap<String, V> {
@@ -55,20 +55,20 @@
 
   /** The record of a job that was open when it was last read, or null. */
   JobRecord record(String id) {
-    return records.get(id);
+    return termStore.get(id);
   }
 
   void putRecord(String id, JobRecord jobRecord) {
-    records.put(id, jobRecord);
+    termStore.put(id, jobRecord);
   }
 
   void dropRecord(String id) {
-    records.remove(id);
+    termStore.remove(id);
   }
 
   /** Whether the job is known to have been accepted. */
   boolean isAccepted(String id) {
-    return ends.containsKey(id) || records.containsKey(id);
+    return ends.containsKey(id) || termStore.containsKey(id);
   }
 
   /** Follows the dependencies of some jobs as far as they are known. */
@@ -80,7 +80,7 @@
     while (!todo.isEmpty()) {
       String job = todo.poll();
       Status end = ends.get(job);
-      JobRecord known = records.get(job);
+      JobRecord known = termStore.get(job);
       if (end != null) {
         cancelled |= end == Status.CANCELLED;
       } else if (known == null) {
--- a/src/main/java/org/saffronshore/state/JobStore.java
+++ b/src/main/java/org/saffronshore/state/JobStore.java
@@ -45,7 +45,7 @@
   private static final int TRIES = 4;
 
   /** Beyond so many transactions that compare, a listing of all open jobs costs less. */
-  private static final int MOST_COMPARES = 4;
+  private static final int MAX_COMPARES = 4;
 
   /** How a job ended, and when, at a time of day; 0 when that was not written down. */
   public record End(Status status, long atMs) {
@@ -62,7 +62,7 @@
 
   private final Loop loop;
   private final StateClient state;
-  private final int mostGuards;
+  private final int maxGuards;
   private final JobCache cache = new JobCache();
   private final CancellationLog cancellations;
   private final JobReader reader;
@@ -73,7 +73,7 @@
   public JobStore(Loop loop, StateClient state, Settings settings) {
     this.loop = loop;
     this.state = state;
-    this.mostGuards = Txn.mostGuards(settings);
+    this.maxGuards = Txn.maxGuards(settings);
     this.cancellations = new CancellationLog(loop, settings.cancelS());
     this.reader = new JobReader(state, cache, this::remember);
     this.openCheck = new OpenCheck(loop, state, cache, settings);
@@ -151,7 +151,7 @@
               then.accept(Status.UNKNOWN);
             }
           });
-    } else if (closure.open().size() > MOST_COMPARES * mostGuards) {
+    } else if (closure.open().size() > MAX_COMPARES * maxGuards) {
       reader.listOpen(
           listed -> {
             if (listed == null) {
--- a/src/main/java/org/saffronshore/state/Keys.java
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -18,10 +18,10 @@
   public static final String SHORT_PROGRESS = "q/";
 
   /** Pages of how far the tasks of each open job may have been launched. */
-  public static final String REACH = "b/";
+  public static final String LAUNCH_MARKS = "b/";
 
   /** Pages of machines that may hold tasks. */
-  public static final String ROSTER = "r/";
+  public static final String REGISTRY = "r/";
 
   public static final String LEADER = "l/leader";
   public static final String TERM = "t/term";
--- a/src/main/java/org/saffronshore/state/OpenCheck.java
+++ b/src/main/java/org/saffronshore/state/OpenCheck.java
@@ -54,7 +54,7 @@
   private final Loop loop;
   private final StateClient state;
   private final JobCache cache;
-  private final int mostGuards;
+  private final int maxGuards;
   private final Map<String, List<Question>> waiting = new LinkedHashMap<>();
   private boolean busy;
   private double nextAt = Double.NEGATIVE_INFINITY;
@@ -63,7 +63,7 @@
     this.loop = loop;
     this.state = state;
     this.cache = cache;
-    this.mostGuards = Txn.mostGuards(settings);
+    this.maxGuards = Txn.maxGuards(settings);
   }
 
   /**
@@ -93,7 +93,7 @@
     Map<String, List<Question>> asked = new LinkedHashMap<>();
     Txn txn = new Txn();
     var next = waiting.entrySet().iterator();
-    while (next.hasNext() && asked.size() < mostGuards) {
+    while (next.hasNext() && asked.size() < maxGuards) {
       Map.Entry<String, List<Question>> entry = next.next();
       JobCache.JobRecord known = cache.record(entry.getKey());
       // A job whose record was dropped meanwhile counts as not open: its end is looked for then.
--- a/src/main/java/org/saffronshore/state/Budget.java
+++ b/src/main/java/org/saffronshore/state/RateLimiter.java
@@ -6,7 +6,7 @@
  * This node's share of a rate that the service's nodes have in common. A part of the burst is kept
  * for what the service cannot do without, such as renewing the leader's permit.
  */
-public final class Budget {
+public final class RateLimiter {
   /** Users' requests leave this share of the burst alone. */
   private static final double RESERVED = 0.2;
 
@@ -19,7 +19,7 @@
   /**
    * @param burstS how many seconds' worth may be spent at once after a quiet time
    */
-  public Budget(Loop loop, double perSecond, double burstS) {
+  public RateLimiter(Loop loop, double perSecond, double burstS) {
     this.loop = loop;
     this.burstS = burstS;
     this.perSecond = perSecond;
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -62,8 +62,8 @@
   private final Loop loop;
   private final Client client;
   private final Settings settings;
-  private final Budget requests;
-  private final Budget writes;
+  private final RateLimiter requests;
+  private final RateLimiter writes;
 
   /** When the service last answered a request of this node with anything but a refusal. */
   private double answeredAt = Double.NEGATIVE_INFINITY;
@@ -82,8 +82,8 @@
     this.loop = loop;
     this.client = client;
     this.settings = settings;
-    this.requests = new Budget(loop, share(settings.stateRps(), LEADER_REQUESTS), 1);
-    this.writes = new Budget(loop, share(settings.stateWriteRps(), LEADER_WRITES), 1.5);
+    this.requests = new RateLimiter(loop, share(settings.stateRps(), LEADER_REQUESTS), 1);
+    this.writes = new RateLimiter(loop, share(settings.stateWriteRps(), LEADER_WRITES), 1.5);
   }
 
   private double share(double all, double leaders) {
@@ -104,20 +104,20 @@
     boolean lower = loop.now() < lowerUntil;
     requests.share(
         share(
-            lower ? Math.min(settings.stateRps(), settings.laterStateRps()) : settings.stateRps(),
+            lower ? Math.min(settings.stateRps(), settings.nextStateRps()) : settings.stateRps(),
             LEADER_REQUESTS));
     writes.share(
         share(
             lower
-                ? Math.min(settings.stateWriteRps(), settings.laterStateWriteRps())
+                ? Math.min(settings.stateWriteRps(), settings.nextStateWriteRps())
                 : settings.stateWriteRps(),
             LEADER_WRITES));
   }
 
   /** The service itself refused for its rate: its later limits may have come. */
   private void refusedForItsRate() {
-    if (settings.laterStateRps() < settings.stateRps()
-        || settings.laterStateWriteRps() < settings.stateWriteRps()) {
+    if (settings.nextStateRps() < settings.stateRps()
+        || settings.nextStateWriteRps() < settings.stateWriteRps()) {
       lowerUntil = loop.now() + LOWER_LEASES * settings.leaseS();
       shareOut();
       loop.after(LOWER_LEASES * settings.leaseS(), this::shareOut);
--- a/src/main/java/org/saffronshore/state/SubmissionQueue.java
+++ b/src/main/java/org/saffronshore/state/SubmissionQueue.java
@@ -23,7 +23,7 @@
   private static final double PAUSE_S = 0.05;
 
   /** A transaction may be 64 KiB long; this leaves room for its guards. */
-  private static final int MOST_BYTES = 40 * 1024;
+  private static final int MAX_BYTES = 40 * 1024;
 
   /** A job's own guards: it is not open, and has not ended. */
   private static final int OWN_GUARDS = 2;
@@ -62,8 +62,8 @@
   private final StateClient state;
   private final JobCache cache;
   private final JobReader reader;
-  private final int mostChanges;
-  private final int mostGuards;
+  private final int maxChanges;
+  private final int maxGuards;
   private final int capacity;
   private final ArrayDeque<Submission> waiting = new ArrayDeque<>();
   private boolean committing;
@@ -74,8 +74,8 @@
     this.state = state;
     this.cache = cache;
     this.reader = reader;
-    this.mostChanges = Math.max(1, settings.txnOps());
-    this.mostGuards = Txn.mostGuards(settings);
+    this.maxChanges = Math.max(1, settings.txnOps());
+    this.maxGuards = Txn.maxGuards(settings);
     // About what the write budget takes in a second.
     this.capacity = (int) Math.max(4, settings.stateWriteRps() / settings.controllers());
   }
@@ -121,12 +121,12 @@
     submission.complete =
         needed.unread().isEmpty()
             && !needed.cancelled()
-            && OWN_GUARDS + needed.open().size() <= mostGuards;
+            && OWN_GUARDS + needed.open().size() <= maxGuards;
     submission.proven = submission.complete ? needed.open() : Set.of();
   }
 
   private void commitNext() {
-    int most = Math.min(mostChanges, state.writable());
+    int most = Math.min(maxChanges, state.writable());
     if (most < 1) {
       // The queue is short: what waits here is written within about a second.
       committing = true;
@@ -164,7 +164,7 @@
       Submission next = waiting.peek();
       prove(next);
       boolean fits =
-          !next.alone && bytes + next.bytes <= MOST_BYTES && guards + next.guards() <= mostGuards;
+          !next.alone && bytes + next.bytes <= MAX_BYTES && guards + next.guards() <= maxGuards;
       if (ids.contains(next.job.id()) || !batch.isEmpty() && !fits) {
         break;
       }
--- a/src/main/java/org/saffronshore/state/Txn.java
+++ b/src/main/java/org/saffronshore/state/Txn.java
@@ -18,7 +18,7 @@
   private final ArrayNode changes = body.putArray("Then");
 
   /** How many guards the state service takes in a transaction. */
-  public static int mostGuards(Settings settings) {
+  public static int maxGuards(Settings settings) {
     return GUARDS_PER_CHANGE * settings.txnOps();
   }
 
--- a/src/main/java/org/saffronshore/wire/JobSpec.java
+++ b/src/main/java/org/saffronshore/wire/JobSpec.java
@@ -33,13 +33,13 @@
     double deadlineS,
     List<String> dependencies) {
 
-  public static final int MOST_TASKS = 100_000;
+  public static final int MAX_TASKS = 100_000;
 
   /** The field that names the jobs that one needs. */
   public static final String DEPENDENCIES = "Awaits";
 
   private static final Pattern ID = Pattern.compile("wk-[0-9]{1,18}");
-  private static final double MOST = 1e9;
+  private static final double MAX = 1e9;
 
   /**
    * Whether a text has the form of a job id, and may thus be part of a key of the state service.
@@ -63,21 +63,21 @@
         f.text("RouteKind"),
         f.text("Crew"),
         Priority.of(f.text("Urgency")),
-        (int) f.count("Legs", 1, MOST_TASKS),
-        f.number("Cores", 0, MOST),
-        f.number("Accelerators", 0, MOST),
-        f.number("RamGb", 0, MOST),
+        (int) f.count("Legs", 1, MAX_TASKS),
+        f.number("Cores", 0, MAX),
+        f.number("Accelerators", 0, MAX),
+        f.number("RamGb", 0, MAX),
         f.text("Kit"),
-        f.number("ImageGb", 0, MOST),
+        f.number("ImageGb", 0, MAX),
         types,
         f.textOrNull("Depot"),
         f.flag("SamePlace"),
         f.flag("Spread"),
         f.flag("Loaner"),
-        f.number("EtaS", 0, MOST),
-        f.number("WaypointS", 0, MOST),
-        f.number("StashS", 0, MOST),
-        f.number("CutoffS", 0, MOST, Double.POSITIVE_INFINITY),
+        f.number("EtaS", 0, MAX),
+        f.number("WaypointS", 0, MAX),
+        f.number("StashS", 0, MAX),
+        f.number("CutoffS", 0, MAX, Double.POSITIVE_INFINITY),
         dependencies(f, id));
   }
 
--- a/src/main/java/org/saffronshore/wire/TaskId.java
+++ b/src/main/java/org/saffronshore/wire/TaskId.java
@@ -8,7 +8,7 @@
     try {
       if (slash > 0) {
         int index = Integer.parseInt(text.substring(slash + 1));
-        if (index >= 0 && index < JobSpec.MOST_TASKS) {
+        if (index >= 0 && index < JobSpec.MAX_TASKS) {
           return new TaskId(text.substring(0, slash), index);
         }
       }
--- a/src/test/java/org/saffronshore/StateStandIn.java
+++ b/src/test/java/org/saffronshore/FakeStateService.java
@@ -15,13 +15,13 @@
 import org.saffronshore.wire.Json;
 
 /** A state service in memory, on a hand-moved clock, with the failures that the protocol lists. */
-public final class StateStandIn implements Client {
+public final class FakeStateService implements Client {
 
   private record Value(JsonNode data, long version, long permit) {}
 
   private record Change(String key, JsonNode data, long revision) {}
 
-  public final HandLoop loop;
+  public final ManualLoop loop;
   public long revision = 1;
 
   /** Requests that are refused with 503 without being executed. */
@@ -46,7 +46,7 @@
    */
   public int longestTxn;
 
-  public int mostChanges;
+  public int maxChanges;
   public int longestValue;
 
   /** Transactions beyond a limit, or with an empty list of changes. */
@@ -68,7 +68,7 @@
   private final List<Change> changes = new ArrayList<>();
   private long lastPermit;
 
-  public StateStandIn(HandLoop loop) {
+  public FakeStateService(ManualLoop loop) {
     this.loop = loop;
   }
 
@@ -180,7 +180,7 @@
     JsonNode in = body == null ? Json.object() : Json.parse(body);
     if (path.equals("/commit")) {
       longestTxn = Math.max(longestTxn, body.length);
-      mostChanges = Math.max(mostChanges, in.path("Then").size());
+      maxChanges = Math.max(maxChanges, in.path("Then").size());
       in.path("Then")
           .forEach(c -> longestValue = Math.max(longestValue, c.path("Data").toString().length()));
     }
--- a/src/test/java/org/saffronshore/HandLoop.java
+++ b/src/test/java/org/saffronshore/ManualLoop.java
@@ -5,7 +5,7 @@
 import org.saffronshore.http.Loop;
 
 /** A loop whose clock the test moves. */
-public final class HandLoop implements Loop {
+public final class ManualLoop implements Loop {
 
   private static final class Entry {
     final double at;
--- a/src/test/java/org/saffronshore/admin/AdminApiTest.java
+++ b/src/test/java/org/saffronshore/admin/AdminApiTest.java
@@ -11,19 +11,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.saffronshore.HandLoop;
+import org.saffronshore.FakeStateService;
+import org.saffronshore.ManualLoop;
 import org.saffronshore.Samples;
-import org.saffronshore.StateStandIn;
 import org.saffronshore.http.Request;
 import org.saffronshore.state.StateClient;
 import org.saffronshore.wire.Json;
 
 class AdminApiTest {
-  private final HandLoop loop = new HandLoop();
+  private final ManualLoop loop = new ManualLoop();
   private final Metrics metrics = new Metrics();
   private final AdminApi api =
       new AdminApi(
-          new StateClient(loop, new StateStandIn(loop), Samples.settings()),
+          new StateClient(loop, new FakeStateService(loop), Samples.settings()),
           metrics,
           Set.of("red"),
           () -> Json.object().put("term", 3));
