--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -101,6 +101,11 @@
     return !ended && leadership.isActive();
   }
 
+  /** Whether the state service renews this leader's lease: what is decided can be written down. */
+  boolean holdsStoreLease() {
+    return !ended && leadership.holdsStoreLease();
+  }
+
   /** Whether nobody else may act, although this node may not know enough yet to act itself. */
   boolean holdsLease() {
     return !ended && leadership.holdsLease();
--- a/src/main/java/org/saffronshore/control/MachineReturner.java
+++ b/src/main/java/org/saffronshore/control/MachineReturner.java
@@ -87,8 +87,12 @@
     if (m.noticed()) {
       return "it is to be taken back, and is empty";
     }
+    // Without the state service no job can be accepted and no task launched that is not written
+    // down yet: that machines are idle then says nothing of how many are needed.
     boolean idle =
-        now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + Consolidation.MIN_CHARGED_S;
+        leader.holdsStoreLease()
+            && now > m.idleSince() + IDLE_KEPT * boot
+            && now > m.rentedAt() + Consolidation.MIN_CHARGED_S;
     return idle && !spare.needs(m) ? "it is idle" : null;
   }
 
--- a/src/test/java/org/saffronshore/control/NodeTest.java
+++ b/src/test/java/org/saffronshore/control/NodeTest.java
@@ -217,4 +217,26 @@
     loop.pass(RUN_S * 2);
     assertEquals("done", status("wk-2"));
   }
+
+  /**
+   * While the state service is away nothing new can be launched, so machines are idle that will be
+   * needed again; afterwards they are returned as usual.
+   */
+  @Test
+  void idleMachinesAreKeptWhileTheStateServiceIsAway() {
+    runS = 70;
+    process.ask("POST", "/work", job("wk-1", 4).toJson(), 201);
+    loop.pass(68);
+    assertEquals(4, starts.size());
+    state.away = (method, path) -> true;
+    int machines = workers.size();
+    loop.pass(14);
+    assertEquals(4, completed.size());
+    assertEquals(machines, workers.size());
+    state.away = (method, path) -> false;
+    state.outlive(14);
+    loop.pass(120);
+    assertEquals("done", status("wk-1"));
+    assertTrue(workers.size() < machines, workers.size() + " machines");
+  }
 }
