--- a/src/test/java/org/saffronshore/FakeStateService.java
+++ b/src/test/java/org/saffronshore/FakeStateService.java
@@ -49,6 +49,9 @@
   public int maxChanges;
   public int longestValue;
 
+  /** A refusal names only the first guard that failed. */
+  public boolean namesOneFailure;
+
   /** Transactions beyond a limit, or with an empty list of changes. */
   public int malformed;
 
@@ -258,7 +261,8 @@
     ObjectNode refusal = Json.object().put("Ledger", revision);
     ArrayNode failed = refusal.putArray("failed");
     for (JsonNode g : in.path("Guards")) {
-      if (version(g.get("K").asText()) != g.get("Stamp").asLong()) {
+      boolean named = !namesOneFailure || failed.isEmpty();
+      if (named && version(g.get("K").asText()) != g.get("Stamp").asLong()) {
         failed.add(g.get("K").asText());
       }
     }
--- a/src/test/java/org/saffronshore/state/JobStoreTest.java
+++ b/src/test/java/org/saffronshore/state/JobStoreTest.java
@@ -438,6 +438,36 @@
     assertEquals(0, service.malformed);
   }
 
+  /**
+   * Nothing says that a refusal names every guard that failed: what it does not name is asked
+   * again.
+   */
+  @Test
+  void whatARefusalDoesNotNameIsAskedAgain() {
+    service.namesOneFailure = true;
+    for (int n = 1; n <= 20; n++) {
+      service.put("j/wk-" + n, Json.object().set("Spec", job(n).toJson()));
+      assertEquals(Status.OPEN, look(there, n));
+    }
+    List.of(3, 5, 8).forEach(this::done);
+    here.cancel("wk-9", told::add);
+    told();
+    List<String> ended = new ArrayList<>();
+    for (int n = 1; n <= 20; n++) {
+      int job = n;
+      there.look(
+          "wk-" + n,
+          status -> {
+            if (status != Status.OPEN) {
+              ended.add(job + " " + status);
+            }
+          });
+    }
+    loop.pass(2);
+    assertEquals(
+        List.of("3 DONE", "5 DONE", "8 DONE", "9 CANCELLED"), ended.stream().sorted().toList());
+  }
+
   @Test
   void aBurstOfQuestionsIsRefusedWhenTheServiceIsAway() {
     for (int n = 1; n <= 60; n++) {
