--- a/src/test/java/org/saffronshore/control/IsolatedControllerTest.java
+++ b/src/test/java/org/saffronshore/control/IsolatedControllerTest.java
@@ -15,6 +15,7 @@
 import org.saffronshore.config.Settings.Address;
 import org.saffronshore.http.Answer;
 import org.saffronshore.http.Request;
+import org.saffronshore.peer.PeerMessage;
 import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.Json;
 
@@ -31,6 +32,18 @@
     state.silent = true;
   }
 
+  /** A peer that leads nothing says whether the state service serves it, and when it last did. */
+  private void heartbeat(long number, boolean served, double servedAgoS) {
+    PeerMessage message =
+        new PeerMessage("n-1", "x", number, served, servedAgoS, PeerMessage.NO_TERM, null);
+    process
+        .node
+        .peers()
+        .handle(
+            new Request("POST", "/peer/hello", message.toCbor()),
+            (code, type, bytes, r) -> assertEquals(200, code));
+  }
+
   private int reportStatus() {
     int[] status = new int[1];
     process.node.handle(
@@ -106,21 +119,7 @@
     state.away = (method, path) -> true;
     loop.pass(8);
     double servedS = loop.now() - process.node.state().answeredAt() - laterS;
-    process
-        .node
-        .peers()
-        .handle(
-            new Request(
-                "POST",
-                "/peer/hello",
-                Json.cbor(
-                    Json.object()
-                        .put("node", "n-1")
-                        .put("life", "x")
-                        .put("n", 1)
-                        .put("served", laterS > 5)
-                        .put("served_s", servedS))),
-            (code, type, bytes, r) -> assertEquals(200, code));
+    heartbeat(1, laterS > 5, servedS);
     process.ask("GET", "/healthz", null, status);
   }
 
@@ -137,21 +136,7 @@
     long term = process.node.leadership().term();
     for (int i = 0; i < 12; i++) {
       process.node.leadership().recordGrant("n-1", loop.now());
-      process
-          .node
-          .peers()
-          .handle(
-              new Request(
-                  "POST",
-                  "/peer/hello",
-                  Json.cbor(
-                      Json.object()
-                          .put("node", "n-1")
-                          .put("life", "x")
-                          .put("n", i + 1)
-                          .put("served", othersServed)
-                          .put("served_s", othersServed ? 0.1 : 1e9))),
-              (code, type, bytes, r) -> assertEquals(200, code));
+      heartbeat(i + 1, othersServed, othersServed ? 0.1 : 1e9);
       loop.pass(0.5);
     }
     assertEquals(status, reportStatus());
