--- a/src/main/java/org/saffronshore/control/Chains.java
+++ b/src/main/java/org/saffronshore/control/Chains.java
@@ -1,11 +1,14 @@
 package org.saffronshore.control;
 
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.cluster.Job;
 import org.saffronshore.http.Loop;
 import org.saffronshore.state.JobStore;
+import org.saffronshore.state.JobStore.End;
 import org.saffronshore.state.JobStore.Status;
 
 /**
@@ -14,15 +17,15 @@
  * is not known to be done keeps others waiting, and users are told of cancellations without it.
  */
 final class Chains {
-    /** So many questions and writes are under way at the same time. */
-    private static final int MOST = 8;
+    /** So many writes are under way at the same time. */
+    private static final int MOST_WRITES = 8;
 
     private final Loop loop;
     private final JobStore store;
     private final Leader leader;
     private final Cluster cluster;
     private final Records records;
-    private final Set<String> asked = new HashSet<>();
+    private boolean reading;
     private final Set<String> writing = new HashSet<>();
 
     Chains(Node node, Leader leader, Cluster cluster, Records records) {
@@ -34,17 +37,14 @@
     }
 
     void look() {
-        for (String id : cluster.dependencies().unknown()) {
-            if (asked.size() >= MOST) {
-                break;
-            }
-            if (asked.add(id)) {
-                ask(id);
-            }
+        List<String> unknown = cluster.dependencies().unknown();
+        if (!reading && !unknown.isEmpty()) {
+            reading = true;
+            store.readEnds(unknown, this::read);
         }
         for (String id : cluster.dependencies().cancelled()) {
             Job job = cluster.job(id);
-            if (writing.size() >= MOST) {
+            if (writing.size() >= MOST_WRITES) {
                 break;
             }
             if (job != null && writing.add(id)) {
@@ -53,23 +53,27 @@
         }
     }
 
-    private void ask(String id) {
-        store.readEnd(id, end -> {
-            asked.remove(id);
-            if (leader.ended()) {
-                return;
-            }
+    private void read(Map<String, End> ends) {
+        reading = false;
+        if (leader.ended()) {
+            return;
+        }
+        boolean news = false;
+        for (Map.Entry<String, End> read : ends.entrySet()) {
+            End end = read.getValue();
             if (end.status() == Status.DONE) {
                 // An end that an earlier version wrote says nothing of its time.
-                cluster.ended(id, true, end.atMs() > 0 ? end.atMs() : loop.wallMs());
-                leader.act();
+                cluster.ended(read.getKey(), true, end.atMs() > 0 ? end.atMs() : loop.wallMs());
+                news = true;
             } else if (end.status() == Status.CANCELLED) {
-                leader.cancelled(id);
-            } else {
-                // Asked again with the next round.
-                return;
+                leader.cancelled(read.getKey());
+                news = true;
             }
+        }
+        // What could not be read is asked again with the next round.
+        if (news) {
+            leader.act();
             look();
-        });
+        }
     }
 }
--- a/src/main/java/org/saffronshore/control/JobFeed.java
+++ b/src/main/java/org/saffronshore/control/JobFeed.java
@@ -96,7 +96,7 @@
 
     private void relist() {
         double askedAt = loop.now();
-        state.list(Keys.JOBS, jobs -> {
+        state.list(Keys.JOBS, true, jobs -> {
             if (leader.ended()) {
                 return;
             }
--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -11,6 +11,7 @@
 import org.saffronshore.http.Reply;
 import org.saffronshore.http.Request;
 import org.saffronshore.state.JobStore;
+import org.saffronshore.state.JobStore.Accepted;
 import org.saffronshore.state.JobStore.Status;
 import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.JobSpec;
@@ -57,9 +58,6 @@
             if (Json.bytes(job.toJson()).length > settings.valueKb() * 1024 - RECORD_BYTES) {
                 throw new InvalidField("body", "is longer than what can be kept of a job");
             }
-            if (job.dependencies().size() > store.mostDependencies()) {
-                throw new InvalidField(JobSpec.DEPENDENCIES, "may name " + store.mostDependencies() + " jobs at most");
-            }
             if (types.get().isEmpty()) {
                 verdict = 503;
                 problem = "the machine types are not known yet";
@@ -75,17 +73,16 @@
             return;
         }
         String id = job.id();
-        boolean needsOthers = !job.dependencies().isEmpty();
         store.accept(job, loop.wallMs(), accepted -> {
             switch (accepted) {
-                case NEW -> {
+                case NEW, NEW_UNPROVEN -> {
                     metrics.add(Metrics.Count.SUBMITTED, 1);
                     metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
-                    if (needsOthers) {
+                    if (accepted == Accepted.NEW) {
+                        tell(id, Status.OPEN, 201, reply);
+                    } else {
                         // One of them may be cancelled already: then so is this one, and must not be called anything else.
                         store.look(id, status -> tell(id, status, 201, reply));
-                    } else {
-                        tell(id, Status.OPEN, 201, reply);
                     }
                 }
                 case KNOWN -> store.look(id, status -> {
--- a/src/main/java/org/saffronshore/leadership/StateBallot.java
+++ b/src/main/java/org/saffronshore/leadership/StateBallot.java
@@ -98,7 +98,7 @@
     }
 
     private void look(long term, long number, int looks, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
-        state.list(Keys.VOTES, votes -> {
+        state.list(Keys.VOTES, true, votes -> {
             Set<String> given = new HashSet<>();
             if (votes != null) {
                 for (StateClient.Entry e : votes.entries()) {
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Answer;
@@ -35,6 +37,9 @@
     /** All keys under a prefix, and the revision from which a watch on them continues. */
     public record Listing(List<Entry> entries, long revision) {}
 
+    /** Some of the keys under a prefix, in their order, at one moment; {@code last} when none come after them. */
+    public record Page(List<Entry> entries, long revision, boolean last) {}
+
     private final Loop loop;
     private final Client client;
     private final Settings settings;
@@ -142,9 +147,19 @@
         send("DELETE", "/holds/" + permit, null, TIMEOUT_S, true, then);
     }
 
+    /** The ids of the jobs whose keys a refused transaction names; none when it was not refused for its guards. */
+    public static Set<String> failedIds(Answer answer) {
+        Set<String> failed = new HashSet<>();
+        JsonNode body = answer.status() == 409 ? answer.json() : null;
+        if (body != null) {
+            body.path("failed").forEach(key -> failed.add(Keys.idOf(key.asText())));
+        }
+        return failed;
+    }
+
     /** Reads every key under a prefix; null when a page could not be had. */
-    public void list(String prefix, Consumer<Listing> then) {
-        page(prefix, "", new ArrayList<>(), -1, then);
+    public void list(String prefix, boolean vital, Consumer<Listing> then) {
+        list(prefix, vital, "", new ArrayList<>(), -1, then);
     }
 
     /** Reads all keys under several prefixes, one after the other; null when any could not be had. */
@@ -158,7 +173,7 @@
             return;
         }
         String prefix = prefixes.get(read.size());
-        list(prefix, listing -> {
+        list(prefix, true, listing -> {
             if (listing == null) {
                 then.accept(null);
             } else {
@@ -168,24 +183,42 @@
         });
     }
 
-    private void page(String prefix, String after, List<Entry> entries, long first, Consumer<Listing> then) {
+    private void list(String prefix, boolean vital, String after, List<Entry> entries, long first, Consumer<Listing> then) {
+        page(prefix, vital, after, page -> {
+            if (page == null) {
+                then.accept(null);
+                return;
+            }
+            entries.addAll(page.entries);
+            // Pages may be of different moments: a watch from the first one's revision catches up with the rest.
+            long revision = first >= 0 ? first : page.revision;
+            if (page.last) {
+                then.accept(new Listing(entries, revision));
+            } else {
+                list(prefix, vital, page.entries.get(page.entries.size() - 1).key(), entries, revision, then);
+            }
+        });
+    }
+
+    /** Reads the keys under a prefix that come after a key, as far as one answer holds them; null when it could not be had. */
+    public void listPage(String prefix, String after, Consumer<Page> then) {
+        page(prefix, false, after, then);
+    }
+
+    private void page(String prefix, boolean vital, String after, Consumer<Page> then) {
         String path = "/kv?Under=" + prefix + (after.isEmpty() ? "" : "&After=" + after) + "&Most=" + PAGE;
-        send("GET", path, null, TIMEOUT_S, true, answer -> {
+        send("GET", path, null, TIMEOUT_S, vital, answer -> {
             JsonNode body = answer.ok() ? answer.json() : null;
             if (body == null || !body.path("Items").isArray()) {
                 then.accept(null);
                 return;
             }
+            List<Entry> entries = new ArrayList<>();
             for (JsonNode item : body.get("Items")) {
                 entries.add(new Entry(Json.text(item, "K"), item.get("Data"), Json.count(item, "Stamp", 0)));
             }
-            // Pages may be of different moments: a watch from the first one's revision catches up with the rest.
-            long revision = first >= 0 ? first : Json.count(body, "Ledger", 0);
-            if (Json.flag(body, "Truncated") && !entries.isEmpty()) {
-                page(prefix, entries.get(entries.size() - 1).key(), entries, revision, then);
-            } else {
-                then.accept(new Listing(entries, revision));
-            }
+            boolean last = !Json.flag(body, "Truncated") || entries.isEmpty();
+            then.accept(new Page(entries, Json.count(body, "Ledger", 0), last));
         });
     }
 
--- a/src/main/java/org/saffronshore/state/Txn.java
+++ b/src/main/java/org/saffronshore/state/Txn.java
@@ -3,14 +3,23 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.saffronshore.config.Settings;
 import org.saffronshore.wire.Json;
 
 /** A transaction in the making: guards on versions of keys, and changes that all happen or do not. */
 public final class Txn {
+    /** A transaction may have so many times more guards than changes. */
+    private static final int GUARDS_PER_CHANGE = 4;
+
     private final ObjectNode body = Json.object();
     private final ArrayNode guards = body.putArray("Guards");
     private final ArrayNode changes = body.putArray("Then");
 
+    /** How many guards the state service takes in a transaction. */
+    public static int mostGuards(Settings settings) {
+        return GUARDS_PER_CHANGE * settings.txnOps();
+    }
+
     /** Version 0 asks that the key does not exist. */
     public Txn guard(String key, long version) {
         guards.addObject().put("K", key).put("Stamp", version);
--- a/src/main/java/org/saffronshore/wire/JobSpec.java
+++ b/src/main/java/org/saffronshore/wire/JobSpec.java
@@ -42,10 +42,10 @@
                 f.text("Kit"), f.number("ImageGb", 0, MOST), types, f.textOrNull("Depot"),
                 f.flag("SamePlace"), f.flag("Spread"), f.flag("Loaner"),
                 f.number("EtaS", 0, MOST), f.number("WaypointS", 0, MOST), f.number("StashS", 0, MOST),
-                f.number("CutoffS", 0, MOST, Double.POSITIVE_INFINITY), dependencies(f));
+                f.number("CutoffS", 0, MOST, Double.POSITIVE_INFINITY), dependencies(f, id));
     }
 
-    private static List<String> dependencies(Fields f) throws InvalidField {
+    private static List<String> dependencies(Fields f, String own) throws InvalidField {
         List<String> named = f.textsOrNull(DEPENDENCIES);
         if (named == null) {
             return List.of();
@@ -54,6 +54,9 @@
             if (!isId(id)) {
                 throw new InvalidField(DEPENDENCIES, "must be a list of ids of the form wk-000412");
             }
+            if (id.equals(own)) {
+                throw new InvalidField(DEPENDENCIES, "must not name the job itself");
+            }
         }
         return named.stream().distinct().toList();
     }
--- a/src/test/java/org/saffronshore/control/UpgradeTest.java
+++ b/src/test/java/org/saffronshore/control/UpgradeTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -21,8 +22,9 @@
 import org.saffronshore.wire.Priority;
 
 /**
- * Beside the version in production, and on its data. The samples have the form in which that version (the commit that
- * deploy/service.toml names) was seen to write; it reads fields by name, and passes over what it does not know.
+ * Beside earlier versions, and on their data: the version in production (the commit that deploy/service.toml names, which
+ * knows no chained jobs) and e08831d, the first one with chained jobs that landed. The samples have the form in which those
+ * commits were seen to write; both read fields by name, and pass over what they do not know.
  */
 class UpgradeTest extends World {
     private static final String JOB = "{'At':1764645441000,'Spec':{'Uid':'wk-1','RouteKind':'class','Crew':'red',"
@@ -133,4 +135,87 @@
         assertTrue(state.value("p/0").has("wk-5/0"));
         assertNull(state.value("q/0"));
     }
+
+    // Beside e08831d, the first version with chained jobs
+
+    private static final String CHAINED = "{'At':1030020,'Spec':{'Uid':'wk-13','RouteKind':'class','Crew':'red',"
+            + "'Shape':'array','Urgency':'urgent','Legs':2,'Cores':4.0,'Accelerators':0.0,'RamGb':1.0,'Kit':'image',"
+            + "'ImageGb':1.0,'SamePlace':false,'Spread':false,'Loaner':true,'EtaS':30.0,'WaypointS':0.0,'StashS':0.0,"
+            + "'Awaits':['wk-12','wk-1']}}";
+    private static final String DONE = "{'State':'done','At':1053050}";
+    private static final String CANCELLED = "{'State':'aborted','At':1030051}";
+
+    /** wk-13 needs wk-12 and wk-1, and wk-12 needs wk-11, which is done; of the large wk-16 all tasks but one are done. */
+    private void theChainedVersionWasHere() {
+        state.put("j/wk-13", json(CHAINED));
+        state.put("j/wk-12", json(CHAINED.replace("wk-13", "wk-12").replace("'wk-12','wk-1'", "'wk-11'")));
+        state.put("f/wk-11", json(DONE));
+        state.put("f/wk-14", json(CANCELLED));
+        state.put("j/wk-15", json(CHAINED.replace("wk-13", "wk-15").replace("'wk-12','wk-1'", "'wk-14'")));
+        state.put("j/wk-16", json(JOB.replace("wk-1'", "wk-16'").replace("'Legs':4", "'Legs':9")));
+        state.put("q/0", json("{'wk-16/0':{'Bits':'/w==','Piece':8}}"));
+        state.put("p/0", json("{'wk-1/0':'Aw==','wk-12/0':'AQ=='}"));
+        state.put("b/0", json("{'wk-1':4,'wk-12':2,'wk-16':9}"));
+    }
+
+    @Test
+    void goesOnWhereTheChainedVersionStopped() throws InvalidField {
+        theChainedVersionWasHere();
+        newVersionStarts();
+        assertEquals("aborted", process.ask("GET", "/work/wk-15", null, 200).get("Status").asText());
+        assertEquals(List.of(), starts.stream().filter(task -> task.startsWith("wk-13/")).toList());
+        loop.pass(2 * RUN_S + 10);
+        for (String job : List.of("wk-1", "wk-12", "wk-13", "wk-16")) {
+            assertEquals("done", process.ask("GET", "/work/" + job, null, 200).get("Status").asText(), job);
+        }
+        assertEquals(Set.of("wk-1/2", "wk-1/3", "wk-12/1", "wk-13/0", "wk-13/1", "wk-16/8"), new TreeSet<>(starts),
+                "what was done is not run again");
+        assertEquals("aborted", state.value("f/wk-15").get("State").asText());
+    }
+
+    /** Jobs that either version accepted may be named, in any state. */
+    @ParameterizedTest
+    @CsvSource({"wk-11, pending", "wk-12, pending", "wk-13, pending", "wk-14, aborted", "wk-15, aborted"})
+    void jobsMayNeedWhatTheChainedVersionAccepted(String needed, String status) throws InvalidField {
+        theChainedVersionWasHere();
+        newVersionStarts();
+        assertEquals(status, process.ask("POST", "/work",
+                Samples.job("wk-20", "red", Priority.STANDARD, 1, 4).after(List.of(needed)).toJson(), 201)
+                .get("Status").asText());
+    }
+
+    /** Chains and ends are written as that version writes them, also where a job needs more others than it took itself. */
+    @ParameterizedTest
+    @CsvSource({"2", "100"})
+    void writesChainsAsTheChainedVersionDoes(int needed) throws InvalidField {
+        newVersionStarts();
+        List<String> others = new ArrayList<>();
+        for (int n = 100; n < 100 + needed; n++) {
+            state.put("f/wk-" + n, json(DONE));
+            others.add("wk-" + n);
+        }
+        process.ask("POST", "/work", Samples.job("wk-30", "red", Priority.URGENT, 2, 4).after(others).toJson(), 201);
+        JsonNode written = state.value("j/wk-30");
+        assertEquals(names(json(CHAINED)), names(written));
+        assertEquals(names(json(CHAINED).get("Spec")), names(written.get("Spec")));
+        assertEquals(needed, written.get("Spec").get("Awaits").size());
+        assertEquals("wk-100", written.get("Spec").get("Awaits").get(0).asText());
+        process.ask("POST", "/work/wk-30/cancel", null, 200);
+        assertEquals(names(json(CANCELLED)), names(state.value("f/wk-30")));
+        assertEquals("aborted", state.value("f/wk-30").get("State").asText());
+    }
+
+    /** A leader of either version tells its followers how far jobs are. */
+    @Test
+    void showsTheProgressThatAnEarlierLeaderTells() throws InvalidField {
+        process = new Process("n-0", true);
+        loop.pass(Samples.LEASE_S / 4);
+        ObjectNode greeting = (ObjectNode) json("{'node':'n-1','life':'e64337505e5956b1','n':58,'served':true,"
+                + "'served_s':0.011,'term':7,'jobs':{'wk-1':[1,2]}}");
+        process.node.peers().handle(new Request("POST", "/peer/hello", Json.cbor(greeting)),
+                (code, type, bytes, r) -> assertEquals(200, code));
+        JsonNode status = process.ask("GET", "/work/wk-1", null, 200);
+        assertEquals("running", status.get("Status").asText());
+        assertEquals(2, status.get("running").asInt());
+    }
 }
