--- a/src/main/java/org/saffronshore/admin/AdminApi.java
+++ b/src/main/java/org/saffronshore/admin/AdminApi.java
@@ -15,96 +15,115 @@
 import org.saffronshore.wire.Json;
 
 /**
- * The administration API, served on the peers' address and never on the users'. Settings live in the state service
- * and are changed by naming the version that was read, so that two operators do not overwrite each other.
+ * The administration API, served on the peers' address and never on the users'. Settings live in
+ * the state service and are changed by naming the version that was read, so that two operators do
+ * not overwrite each other.
  */
 public final class AdminApi {
-    private final StateClient state;
-    private final Metrics metrics;
-    private final Set<String> teams;
-    private final Supplier<ObjectNode> status;
+  private final StateClient state;
+  private final Metrics metrics;
+  private final Set<String> teams;
+  private final Supplier<ObjectNode> status;
 
-    public AdminApi(StateClient state, Metrics metrics, Set<String> teams, Supplier<ObjectNode> status) {
-        this.state = state;
-        this.metrics = metrics;
-        this.teams = teams;
-        this.status = status;
-    }
+  public AdminApi(
+      StateClient state, Metrics metrics, Set<String> teams, Supplier<ObjectNode> status) {
+    this.state = state;
+    this.metrics = metrics;
+    this.teams = teams;
+    this.status = status;
+  }
 
-    /** Answers a request that is the API's; false when the path is not. */
-    public boolean handle(Request request, Reply reply) {
-        switch (request.path()) {
-            case "/metrics" -> get(request, reply, () -> reply.send(200, "text/plain; version=0.0.4; charset=utf-8",
-                    metrics.scrape().getBytes(StandardCharsets.UTF_8), 0));
-            case "/admin/status" -> get(request, reply, () -> reply.json(200, status.get()));
-            case "/admin/settings" -> {
-                if (request.is("GET")) {
-                    read(reply);
-                } else if (request.is("PUT")) {
-                    change(request.json(), reply);
-                } else {
-                    reply.error(405, "GET or PUT");
-                }
-            }
-            default -> {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static void get(Request request, Reply reply, Runnable answer) {
+  /** Answers a request that is the API's; false when the path is not. */
+  public boolean handle(Request request, Reply reply) {
+    switch (request.path()) {
+      case "/metrics" ->
+          get(
+              request,
+              reply,
+              () ->
+                  reply.send(
+                      200,
+                      "text/plain; version=0.0.4; charset=utf-8",
+                      metrics.scrape().getBytes(StandardCharsets.UTF_8),
+                      0));
+      case "/admin/status" -> get(request, reply, () -> reply.json(200, status.get()));
+      case "/admin/settings" -> {
         if (request.is("GET")) {
-            answer.run();
+          read(reply);
+        } else if (request.is("PUT")) {
+          change(request.json(), reply);
         } else {
-            reply.error(405, "GET only");
+          reply.error(405, "GET or PUT");
         }
+      }
+      default -> {
+        return false;
+      }
     }
+    return true;
+  }
 
-    private void read(Reply reply) {
-        state.get(Keys.OPERATOR, false, answer -> {
-            JsonNode body = answer.json();
-            if (answer.status() == 404) {
-                reply.json(200, versioned(OperatorSettings.START.toJson(), 0));
-            } else if (answer.ok() && body != null) {
-                try {
-                    reply.json(200, versioned(OperatorSettings.parse(body.get("Data"), teams).toJson(),
-                            Json.count(body, "Stamp", 0)));
-                } catch (InvalidField e) {
-                    reply.error(500, "stored settings: " + e.getMessage());
-                }
-            } else {
-                reply.later(503, "the state service does not answer", 1);
-            }
-        });
-    }
-
-    private static ObjectNode versioned(ObjectNode settings, long version) {
-        ObjectNode o = Json.object().put("version", version);
-        o.set("settings", settings);
-        return o;
+  private static void get(Request request, Reply reply, Runnable answer) {
+    if (request.is("GET")) {
+      answer.run();
+    } else {
+      reply.error(405, "GET only");
     }
+  }
 
-    private void change(JsonNode body, Reply reply) {
-        OperatorSettings settings;
-        long version;
-        try {
-            Fields f = Fields.of(body, "");
-            version = f.count("version", 0, Long.MAX_VALUE);
-            settings = OperatorSettings.parse(f.object("settings").node(), teams);
-        } catch (InvalidField e) {
-            reply.json(400, Json.object().put("error", e.getMessage()).put("field", e.field()));
-            return;
-        }
-        state.commit(new Txn().guard(Keys.OPERATOR, version).set(Keys.OPERATOR, settings.toJson()), false, answer -> {
-            JsonNode done = answer.json();
-            if (answer.ok() && done != null) {
-                reply.json(200, versioned(settings.toJson(), Json.count(done, "Ledger", 0)));
-            } else if (answer.status() == 409) {
-                reply.error(409, "the settings have another version by now: read them again");
-            } else {
-                reply.later(503, "the state service does not answer", 1);
+  private void read(Reply reply) {
+    state.get(
+        Keys.OPERATOR,
+        false,
+        answer -> {
+          JsonNode body = answer.json();
+          if (answer.status() == 404) {
+            reply.json(200, versioned(OperatorSettings.START.toJson(), 0));
+          } else if (answer.ok() && body != null) {
+            try {
+              reply.json(
+                  200,
+                  versioned(
+                      OperatorSettings.parse(body.get("Data"), teams).toJson(),
+                      Json.count(body, "Stamp", 0)));
+            } catch (InvalidField e) {
+              reply.error(500, "stored settings: " + e.getMessage());
             }
+          } else {
+            reply.later(503, "the state service does not answer", 1);
+          }
         });
+  }
+
+  private static ObjectNode versioned(ObjectNode settings, long version) {
+    ObjectNode o = Json.object().put("version", version);
+    o.set("settings", settings);
+    return o;
+  }
+
+  private void change(JsonNode body, Reply reply) {
+    OperatorSettings settings;
+    long version;
+    try {
+      Fields f = Fields.of(body, "");
+      version = f.count("version", 0, Long.MAX_VALUE);
+      settings = OperatorSettings.parse(f.object("settings").node(), teams);
+    } catch (InvalidField e) {
+      reply.json(400, Json.object().put("error", e.getMessage()).put("field", e.field()));
+      return;
     }
+    state.commit(
+        new Txn().guard(Keys.OPERATOR, version).set(Keys.OPERATOR, settings.toJson()),
+        false,
+        answer -> {
+          JsonNode done = answer.json();
+          if (answer.ok() && done != null) {
+            reply.json(200, versioned(settings.toJson(), Json.count(done, "Ledger", 0)));
+          } else if (answer.status() == 409) {
+            reply.error(409, "the settings have another version by now: read them again");
+          } else {
+            reply.later(503, "the state service does not answer", 1);
+          }
+        });
+  }
 }
--- a/src/main/java/org/saffronshore/admin/Metrics.java
+++ b/src/main/java/org/saffronshore/admin/Metrics.java
@@ -11,83 +11,100 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * What a node counts. Counting is plain arithmetic on the loop; the registry is only made when somebody asks for
- * the metrics, since it would add to every start otherwise.
+ * What a node counts. Counting is plain arithmetic on the loop; the registry is only made when
+ * somebody asks for the metrics, since it would add to every start otherwise.
  */
 public final class Metrics {
 
-    public enum Count {
-        SUBMITTED("jobs_submitted"), REFUSED("requests_refused"), REPORTS("worker_reports"),
-        REDIRECTED("worker_reports_redirected"), RELAYED("worker_reports_relayed"), CYCLES("scheduling_cycles"),
-        PLACED("tasks_placed"), STOPPED("tasks_stopped"), RENTED("machines_rented"), RETURNED("machines_returned"),
-        TERMS("terms_led");
-
-        private final String name;
-
-        Count(String name) {
-            this.name = name;
-        }
+  public enum Count {
+    SUBMITTED("jobs_submitted"),
+    REFUSED("requests_refused"),
+    REPORTS("worker_reports"),
+    REDIRECTED("worker_reports_redirected"),
+    RELAYED("worker_reports_relayed"),
+    CYCLES("scheduling_cycles"),
+    PLACED("tasks_placed"),
+    STOPPED("tasks_stopped"),
+    RENTED("machines_rented"),
+    RETURNED("machines_returned"),
+    TERMS("terms_led");
+
+    private final String name;
+
+    Count(String name) {
+      this.name = name;
     }
+  }
 
-    public enum Latency {
-        SUBMIT("submit"), POLL("poll"), REPORT("report"), CYCLE("cycle"), LOOP("loop_delay");
+  public enum Latency {
+    SUBMIT("submit"),
+    POLL("poll"),
+    REPORT("report"),
+    CYCLE("cycle"),
+    LOOP("loop_delay");
 
-        private final String name;
-
-        Latency(String name) {
-            this.name = name;
-        }
-    }
+    private final String name;
 
-    private static final String PREFIX = "saffronshore.";
-    private static final double[] QUANTILES = {0.5, 0.9, 0.99, 1.0};
-    private static final long MOST_MICROS = 60_000_000L;
-
-    private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
-    private final Map<Latency, Histogram> latencies = new EnumMap<>(Latency.class);
-    private final Map<String, DoubleSupplier> gauges = new java.util.LinkedHashMap<>();
-    private PrometheusMeterRegistry registry;
-
-    public Metrics() {
-        for (Count c : Count.values()) {
-            counts.put(c, new long[1]);
-        }
-        for (Latency l : Latency.values()) {
-            latencies.put(l, new Histogram(MOST_MICROS, 2));
-        }
+    Latency(String name) {
+      this.name = name;
     }
+  }
 
-    public void add(Count count, long n) {
-        counts.get(count)[0] += n;
-    }
+  private static final String PREFIX = "saffronshore.";
+  private static final double[] QUANTILES = {0.5, 0.9, 0.99, 1.0};
+  private static final long MOST_MICROS = 60_000_000L;
 
-    public long value(Count count) {
-        return counts.get(count)[0];
-    }
+  private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
+  private final Map<Latency, Histogram> latencies = new EnumMap<>(Latency.class);
+  private final Map<String, DoubleSupplier> gauges = new java.util.LinkedHashMap<>();
+  private PrometheusMeterRegistry registry;
 
-    public void took(Latency latency, double seconds) {
-        latencies.get(latency).recordValue(Math.min(MOST_MICROS, Math.max(0, (long) (seconds * 1e6))));
+  public Metrics() {
+    for (Count c : Count.values()) {
+      counts.put(c, new long[1]);
     }
-
-    public void gauge(String name, DoubleSupplier value) {
-        gauges.put(name, value);
+    for (Latency l : Latency.values()) {
+      latencies.put(l, new Histogram(MOST_MICROS, 2));
     }
-
-    /** All metrics in the text form that Prometheus reads. */
-    public String scrape() {
-        if (registry == null) {
-            registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-            counts.forEach((c, n) -> FunctionCounter.builder(PREFIX + c.name, n, v -> v[0]).register(registry));
-            gauges.forEach((name, value) -> Gauge.builder(PREFIX + name, value, DoubleSupplier::getAsDouble)
-                    .register(registry));
-            latencies.forEach((l, h) -> {
-                for (double q : QUANTILES) {
-                    Gauge.builder(PREFIX + l.name + ".seconds", h, v -> v.getValueAtPercentile(q * 100) / 1e6)
-                            .tags(Tags.of("quantile", Double.toString(q))).register(registry);
-                }
-                FunctionCounter.builder(PREFIX + l.name + ".count", h, Histogram::getTotalCount).register(registry);
-            });
-        }
-        return registry.scrape();
+  }
+
+  public void add(Count count, long n) {
+    counts.get(count)[0] += n;
+  }
+
+  public long value(Count count) {
+    return counts.get(count)[0];
+  }
+
+  public void took(Latency latency, double seconds) {
+    latencies.get(latency).recordValue(Math.min(MOST_MICROS, Math.max(0, (long) (seconds * 1e6))));
+  }
+
+  public void gauge(String name, DoubleSupplier value) {
+    gauges.put(name, value);
+  }
+
+  /** All metrics in the text form that Prometheus reads. */
+  public String scrape() {
+    if (registry == null) {
+      registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+      counts.forEach(
+          (c, n) -> FunctionCounter.builder(PREFIX + c.name, n, v -> v[0]).register(registry));
+      gauges.forEach(
+          (name, value) ->
+              Gauge.builder(PREFIX + name, value, DoubleSupplier::getAsDouble).register(registry));
+      latencies.forEach(
+          (l, h) -> {
+            for (double q : QUANTILES) {
+              Gauge.builder(
+                      PREFIX + l.name + ".seconds", h, v -> v.getValueAtPercentile(q * 100) / 1e6)
+                  .tags(Tags.of("quantile", Double.toString(q)))
+                  .register(registry);
+            }
+            FunctionCounter.builder(PREFIX + l.name + ".count", h, Histogram::getTotalCount)
+                .register(registry);
+          });
     }
+    return registry.scrape();
+  }
 }
--- a/src/main/java/org/saffronshore/cli/ControllerCommand.java
+++ b/src/main/java/org/saffronshore/cli/ControllerCommand.java
@@ -19,54 +19,74 @@
 import picocli.CommandLine.Option;
 
 /** Runs one controller until it is killed. */
-@Command(name = "controller", description = "Runs one controller node until it is killed.",
-        mixinStandardHelpOptions = true, versionProvider = Main.Version.class)
+@Command(
+    name = "controller",
+    description = "Runs one controller node until it is killed.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class)
 final class ControllerCommand implements Callable<Integer> {
-    /** The exit status that means: do not exit, the loop goes on. */
-    static final int RUNNING = -1;
-    private static final int BAD_SETTINGS = 78;
-    private static final int CANNOT_SERVE = 69;
+  /** The exit status that means: do not exit, the loop goes on. */
+  static final int RUNNING = -1;
 
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (JSON)")
-    private Path config;
+  private static final int BAD_SETTINGS = 78;
+  private static final int CANNOT_SERVE = 69;
 
-    @Override
-    public Integer call() {
-        Logger log = LoggerFactory.getLogger(ControllerCommand.class);
-        Settings settings;
-        try {
-            JsonNode root = Json.parse(Files.readAllBytes(config));
-            if (root == null) {
-                throw new InvalidField("settings", "is not JSON");
-            }
-            settings = Settings.parse(root);
-        } catch (IOException e) {
-            log.error("the settings file {} cannot be read: {}", config, e.toString());
-            return BAD_SETTINGS;
-        } catch (InvalidField e) {
-            log.error("the settings file {} is not valid: {}", config, e.getMessage());
-            return BAD_SETTINGS;
-        }
-        try {
-            run(settings);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return CANNOT_SERVE;
-        } catch (Exception e) {
-            log.error("{} cannot serve on {} and {}: {}", settings.node(), settings.listen(), settings.peerListen(),
-                    e.toString());
-            return CANNOT_SERVE;
-        }
-        log.info("{} serves on {}, and its peers on {}", settings.node(), settings.listen(), settings.peerListen());
-        return RUNNING;
-    }
+  @Option(
+      names = "--config",
+      required = true,
+      paramLabel = "FILE",
+      description = "the platform's settings (JSON)")
+  private Path config;
 
-    static void run(Settings settings) throws InterruptedException {
-        NettyLoop loop = new NettyLoop();
-        HttpClient client = new HttpClient(loop, loop.group(), new Sockets(Math.max(8, settings.sockets() / 6)),
-                HttpClient.IDLE_S);
-        Node node = new Node(loop, settings, client, RandomGenerator.of("L64X128MixRandom"));
-        node.serve(loop.group());
-        loop.soon(node::start);
+  @Override
+  public Integer call() {
+    Logger log = LoggerFactory.getLogger(ControllerCommand.class);
+    Settings settings;
+    try {
+      JsonNode root = Json.parse(Files.readAllBytes(config));
+      if (root == null) {
+        throw new InvalidField("settings", "is not JSON");
+      }
+      settings = Settings.parse(root);
+    } catch (IOException e) {
+      log.error("the settings file {} cannot be read: {}", config, e.toString());
+      return BAD_SETTINGS;
+    } catch (InvalidField e) {
+      log.error("the settings file {} is not valid: {}", config, e.getMessage());
+      return BAD_SETTINGS;
+    }
+    try {
+      run(settings);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return CANNOT_SERVE;
+    } catch (Exception e) {
+      log.error(
+          "{} cannot serve on {} and {}: {}",
+          settings.node(),
+          settings.listen(),
+          settings.peerListen(),
+          e.toString());
+      return CANNOT_SERVE;
     }
+    log.info(
+        "{} serves on {}, and its peers on {}",
+        settings.node(),
+        settings.listen(),
+        settings.peerListen());
+    return RUNNING;
+  }
+
+  static void run(Settings settings) throws InterruptedException {
+    NettyLoop loop = new NettyLoop();
+    HttpClient client =
+        new HttpClient(
+            loop,
+            loop.group(),
+            new Sockets(Math.max(8, settings.sockets() / 6)),
+            HttpClient.IDLE_S);
+    Node node = new Node(loop, settings, client, RandomGenerator.of("L64X128MixRandom"));
+    node.serve(loop.group());
+    loop.soon(node::start);
+  }
 }
--- a/src/main/java/org/saffronshore/cli/Main.java
+++ b/src/main/java/org/saffronshore/cli/Main.java
@@ -4,34 +4,39 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
-/** The program: a thin layer over the library. Its parts are subcommands; today there is the controller. */
-@Command(name = "saffronshore", description = "A cluster scheduler that rents its machines and survives failures.",
-        mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-        subcommands = {ControllerCommand.class, RehearseCommand.class})
+/**
+ * The program: a thin layer over the library. Its parts are subcommands; today there is the
+ * controller.
+ */
+@Command(
+    name = "saffronshore",
+    description = "A cluster scheduler that rents its machines and survives failures.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    subcommands = {ControllerCommand.class, RehearseCommand.class})
 public final class Main implements Callable<Integer> {
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
-    public static void main(String[] args) {
-        Logging.setUp(System.getenv("LOG_LEVEL"));
-        int status = new CommandLine(new Main()).execute(args);
-        if (status != ControllerCommand.RUNNING) {
-            System.exit(status);
-        }
+  public static void main(String[] args) {
+    Logging.setUp(System.getenv("LOG_LEVEL"));
+    int status = new CommandLine(new Main()).execute(args);
+    if (status != ControllerCommand.RUNNING) {
+      System.exit(status);
     }
+  }
 
-    @Override
-    public Integer call() {
-        spec.commandLine().usage(System.err);
-        return CommandLine.ExitCode.USAGE;
-    }
+  @Override
+  public Integer call() {
+    spec.commandLine().usage(System.err);
+    return CommandLine.ExitCode.USAGE;
+  }
 
-    /** The version that the build wrote into the jar. */
-    static final class Version implements CommandLine.IVersionProvider {
-        @Override
-        public String[] getVersion() {
-            String version = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"saffronshore " + (version == null ? "(not packaged)" : version)};
-        }
+  /** The version that the build wrote into the jar. */
+  static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"saffronshore " + (version == null ? "(not packaged)" : version)};
     }
+  }
 }
--- a/src/main/java/org/saffronshore/cli/RehearseCommand.java
+++ b/src/main/java/org/saffronshore/cli/RehearseCommand.java
@@ -13,74 +13,112 @@
 import picocli.CommandLine.Command;
 
 /**
- * Runs a controller for a moment on loopback, against nothing, so that the build can archive the classes that a
- * start needs.
+ * Runs a controller for a moment on loopback, against nothing, so that the build can archive the
+ * classes that a start needs.
  */
-@Command(name = "rehearse", hidden = true, description = "Runs for a moment, for the build to archive classes.")
+@Command(
+    name = "rehearse",
+    hidden = true,
+    description = "Runs for a moment, for the build to archive classes.")
 final class RehearseCommand implements Callable<Integer> {
-    private static final long WHILE_MS = 1_500;
+  private static final long WHILE_MS = 1_500;
 
-    @Override
-    public Integer call() throws Exception {
-        int port = freePort();
-        int peerPort = freePort();
-        Settings settings;
-        try (InputStream in = RehearseCommand.class.getResourceAsStream("rehearsal.json")) {
-            String text = new String(in.readAllBytes()).replace("${port}", "" + port).replace("${peer}", "" + peerPort);
-            settings = Settings.parse(Json.parse(text.getBytes()));
-        }
-        ControllerCommand.run(settings);
-        loadAll();
-        var client = HttpClient.newHttpClient();
-        String[] bodies = {"{}", "{\"Uid\":\"wk-1\"}", "not json"};
-        long until = System.currentTimeMillis() + WHILE_MS;
-        while (System.currentTimeMillis() < until) {
-            for (String body : bodies) {
-                for (String path : new String[] {"/work", "/v1/report", "/work/wk-1/cancel"}) {
-                    send(client, port, path, body);
-                }
-            }
-            send(client, port, "/healthz", null);
-            send(client, port, "/work/wk-1", null);
-            send(client, peerPort, "/metrics", null);
-            Thread.sleep(100);
+  @Override
+  public Integer call() throws Exception {
+    int port = freePort();
+    int peerPort = freePort();
+    Settings settings;
+    try (InputStream in = RehearseCommand.class.getResourceAsStream("rehearsal.json")) {
+      String text =
+          new String(in.readAllBytes())
+              .replace("${port}", "" + port)
+              .replace("${peer}", "" + peerPort);
+      settings = Settings.parse(Json.parse(text.getBytes()));
+    }
+    ControllerCommand.run(settings);
+    loadAll();
+    var client = HttpClient.newHttpClient();
+    String[] bodies = {"{}", "{\"Uid\":\"wk-1\"}", "not json"};
+    long until = System.currentTimeMillis() + WHILE_MS;
+    while (System.currentTimeMillis() < until) {
+      for (String body : bodies) {
+        for (String path : new String[] {"/work", "/v1/report", "/work/wk-1/cancel"}) {
+          send(client, port, path, body);
         }
-        return 0;
+      }
+      send(client, port, "/healthz", null);
+      send(client, port, "/work/wk-1", null);
+      send(client, peerPort, "/metrics", null);
+      Thread.sleep(100);
     }
+    return 0;
+  }
 
-    private static void send(HttpClient client, int port, String path, String body) throws InterruptedException {
-        var request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
-        if (body != null) {
-            request.POST(HttpRequest.BodyPublishers.ofString(body));
-        }
-        try {
-            client.send(request.build(), HttpResponse.BodyHandlers.discarding());
-        } catch (IOException e) {
-            // The controller is just starting; the next round asks again.
-        }
+  private static void send(HttpClient client, int port, String path, String body)
+      throws InterruptedException {
+    var request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
+    if (body != null) {
+      request.POST(HttpRequest.BodyPublishers.ofString(body));
     }
+    try {
+      client.send(request.build(), HttpResponse.BodyHandlers.discarding());
+    } catch (IOException e) {
+      // The controller is just starting; the next round asks again.
+    }
+  }
 
-    /** Classes that only a served controller would touch. */
-    private static void loadAll() {
-        for (String name : new String[] {"cluster.Cluster", "cluster.Cluster$Call", "cluster.Calls", "cluster.Views",
-                "cluster.RunTimes", "cluster.Roster", "cluster.Hearing", "cluster.Machine", "cluster.Job",
-                "cluster.Attempt", "cluster.Attempt$State", "control.Leader", "control.FleetKeeper",
-                "control.JobFeed", "control.Records", "control.Pages", "control.Pages$Batch", "scheduling.Failures",
-                 "fleet.Forecast", "fleet.Forecast$Line", "fleet.Displaced",
-                "scheduling.Cycle", "scheduling.Plan", "scheduling.Host", "scheduling.Pending", "scheduling.Team",
-                "scheduling.Room", "scheduling.Slot", "fleet.FleetPlan", "fleet.Kind", "wire.Report", "wire.Command",
-                "wire.TaskId", "wire.MachineType", "admin.OperatorSettings", "state.Txn"}) {
-            try {
-                Class.forName("org.saffronshore." + name);
-            } catch (ClassNotFoundException e) {
-                throw new IllegalStateException("the rehearsal names a class that is gone: " + name, e);
-            }
-        }
+  /** Classes that only a served controller would touch. */
+  private static void loadAll() {
+    for (String name :
+        new String[] {
+          "cluster.Cluster",
+          "cluster.Cluster$Call",
+          "cluster.Calls",
+          "cluster.Views",
+          "cluster.RunTimes",
+          "cluster.Roster",
+          "cluster.Hearing",
+          "cluster.Machine",
+          "cluster.Job",
+          "cluster.Attempt",
+          "cluster.Attempt$State",
+          "control.Leader",
+          "control.FleetKeeper",
+          "control.JobFeed",
+          "control.Records",
+          "control.Pages",
+          "control.Pages$Batch",
+          "scheduling.Failures",
+          "fleet.Forecast",
+          "fleet.Forecast$Line",
+          "fleet.Displaced",
+          "scheduling.Cycle",
+          "scheduling.Plan",
+          "scheduling.Host",
+          "scheduling.Pending",
+          "scheduling.Team",
+          "scheduling.Room",
+          "scheduling.Slot",
+          "fleet.FleetPlan",
+          "fleet.Kind",
+          "wire.Report",
+          "wire.Command",
+          "wire.TaskId",
+          "wire.MachineType",
+          "admin.OperatorSettings",
+          "state.Txn"
+        }) {
+      try {
+        Class.forName("org.saffronshore." + name);
+      } catch (ClassNotFoundException e) {
+        throw new IllegalStateException("the rehearsal names a class that is gone: " + name, e);
+      }
     }
+  }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
     }
+  }
 }
--- a/src/main/java/org/saffronshore/cloud/CloudClient.java
+++ b/src/main/java/org/saffronshore/cloud/CloudClient.java
@@ -14,52 +14,65 @@
 
 /** The cloud as the controllers use it. A node that does not lead asks for machine types only. */
 public final class CloudClient {
-    public static final int MOST_RETURNED = 100;
-    public static final int MOST_RENTED = 50;
-    public static final int PAGE = 500;
-    private static final double TIMEOUT_S = 5;
-    /** Followers ask seldom; the rest of the rate is the leader's. */
-    private static final double SHARE = 0.8;
+  public static final int MOST_RETURNED = 100;
+  public static final int MOST_RENTED = 50;
+  public static final int PAGE = 500;
+  private static final double TIMEOUT_S = 5;
 
-    private final Loop loop;
-    private final Client client;
-    private final Settings settings;
-    private final Budget budget;
+  /** Followers ask seldom; the rest of the rate is the leader's. */
+  private static final double SHARE = 0.8;
 
-    public CloudClient(Loop loop, Client client, Settings settings) {
-        this.loop = loop;
-        this.client = client;
-        this.settings = settings;
-        this.budget = new Budget(loop, settings.cloudRps() * SHARE, 2);
-    }
+  private final Loop loop;
+  private final Client client;
+  private final Settings settings;
+  private final Budget budget;
 
-    private void send(String method, String path, JsonNode body, boolean vital, Answer.Receiver then) {
-        if (!budget.take(1, vital)) {
-            loop.soon(() -> then.receive(new Answer(429, new byte[0])));
-            return;
-        }
-        client.send(settings.cloud(), method, path, body == null ? null : Json.bytes(body), TIMEOUT_S, then);
-    }
+  public CloudClient(Loop loop, Client client, Settings settings) {
+    this.loop = loop;
+    this.client = client;
+    this.settings = settings;
+    this.budget = new Budget(loop, settings.cloudRps() * SHARE, 2);
+  }
 
-    public void types(Answer.Receiver then) {
-        send("GET", "/machine_types", null, false, then);
+  private void send(
+      String method, String path, JsonNode body, boolean vital, Answer.Receiver then) {
+    if (!budget.take(1, vital)) {
+      loop.soon(() -> then.receive(new Answer(429, new byte[0])));
+      return;
     }
+    client.send(
+        settings.cloud(), method, path, body == null ? null : Json.bytes(body), TIMEOUT_S, then);
+  }
 
-    public void list(String after, Answer.Receiver then) {
-        send("GET", "/hosts?" + (after.isEmpty() ? "" : "After=" + after + "&") + "Most=" + PAGE, null, false, then);
-    }
+  public void types(Answer.Receiver then) {
+    send("GET", "/machine_types", null, false, then);
+  }
 
-    /** Rents machines. The name makes a repeat harmless, and must never be used for anything else. */
-    public void rent(String name, Kind kind, int count, Answer.Receiver then) {
-        ObjectNode body = Json.object().put("Hire", name).put("Rig", kind.type()).put("Depot", kind.zone())
-                .put("Loaner", kind.spot()).put("Count", count);
-        send("POST", "/hosts", body, true, then);
-    }
+  public void list(String after, Answer.Receiver then) {
+    send(
+        "GET",
+        "/hosts?" + (after.isEmpty() ? "" : "After=" + after + "&") + "Most=" + PAGE,
+        null,
+        false,
+        then);
+  }
 
-    public void giveBack(Collection<String> machines, Answer.Receiver then) {
-        ObjectNode body = Json.object();
-        ArrayNode names = body.putArray("Cadres");
-        machines.forEach(names::add);
-        send("POST", "/hosts/return", body, true, then);
-    }
+  /** Rents machines. The name makes a repeat harmless, and must never be used for anything else. */
+  public void rent(String name, Kind kind, int count, Answer.Receiver then) {
+    ObjectNode body =
+        Json.object()
+            .put("Hire", name)
+            .put("Rig", kind.type())
+            .put("Depot", kind.zone())
+            .put("Loaner", kind.spot())
+            .put("Count", count);
+    send("POST", "/hosts", body, true, then);
+  }
+
+  public void giveBack(Collection<String> machines, Answer.Receiver then) {
+    ObjectNode body = Json.object();
+    ArrayNode names = body.putArray("Cadres");
+    machines.forEach(names::add);
+    send("POST", "/hosts/return", body, true, then);
+  }
 }
--- a/src/main/java/org/saffronshore/cluster/Calls.java
+++ b/src/main/java/org/saffronshore/cluster/Calls.java
@@ -10,176 +10,192 @@
 import org.saffronshore.wire.Report;
 
 /**
- * What each machine is to be told: launches, stops, and what it may forget. Launches and stops go straight to the
- * worker; the answers to its reports carry the rest, and what could not be delivered.
+ * What each machine is to be told: launches, stops, and what it may forget. Launches and stops go
+ * straight to the worker; the answers to its reports carry the rest, and what could not be
+ * delivered.
  */
 final class Calls {
-    private static final int MOST_COMMANDS = 400;
+  private static final int MOST_COMMANDS = 400;
 
-    private final Cluster cluster;
-    private final Loop loop;
-    private final Settings settings;
-    private final Set<Machine> waiting = new LinkedHashSet<>();
+  private final Cluster cluster;
+  private final Loop loop;
+  private final Settings settings;
+  private final Set<Machine> waiting = new LinkedHashSet<>();
 
-    Calls(Cluster cluster, Loop loop, Settings settings) {
-        this.cluster = cluster;
-        this.loop = loop;
-        this.settings = settings;
-    }
+  Calls(Cluster cluster, Loop loop, Settings settings) {
+    this.cluster = cluster;
+    this.loop = loop;
+    this.settings = settings;
+  }
 
-    /** The machine has, or may have, something to be told. */
-    void due(Machine m) {
-        waiting.add(m);
-    }
+  /** The machine has, or may have, something to be told. */
+  void due(Machine m) {
+    waiting.add(m);
+  }
 
-    /** The machine that has waited longest, or null; it counts as looked at. */
-    Machine next() {
-        var first = waiting.iterator();
-        if (!first.hasNext()) {
-            return null;
-        }
-        Machine m = first.next();
-        first.remove();
-        return m;
+  /** The machine that has waited longest, or null; it counts as looked at. */
+  Machine next() {
+    var first = waiting.iterator();
+    if (!first.hasNext()) {
+      return null;
     }
+    Machine m = first.next();
+    first.remove();
+    return m;
+  }
 
-    boolean needsCall(Machine m) {
-        if (!m.settled || m.deaf) {
-            return true;
-        }
-        for (Attempt a : m.attempts.values()) {
-            if (launchDue(a) && a.inFlight == 0 || dueStop(a)) {
-                return true;
-            }
-        }
-        return false;
+  boolean needsCall(Machine m) {
+    if (!m.settled || m.deaf) {
+      return true;
     }
-
-    /** Whether its launch may go out, again or for the first time. */
-    private boolean launchDue(Attempt a) {
-        Job job = a.state == Attempt.State.SENDING ? cluster.job(a.task.job()) : null;
-        return a.state == Attempt.State.SENDING && (a.sent || job != null && job.launchable(a.task.index()));
+    for (Attempt a : m.attempts.values()) {
+      if (launchDue(a) && a.inFlight == 0 || dueStop(a)) {
+        return true;
+      }
     }
+    return false;
+  }
 
-    private boolean dueStop(Attempt a) {
-        return a.stopping && loop.now() >= a.stopSentAt + settings.reportS() * 2 / 3;
-    }
+  /** Whether its launch may go out, again or for the first time. */
+  private boolean launchDue(Attempt a) {
+    Job job = a.state == Attempt.State.SENDING ? cluster.job(a.task.job()) : null;
+    return a.state == Attempt.State.SENDING
+        && (a.sent || job != null && job.launchable(a.task.index()));
+  }
 
-    /** What to send to a machine now, or null. */
-    Cluster.Call call(Machine m) {
-        double now = loop.now();
-        // One that has not found this leader yet is asked where it is: tasks of older jobs wait for what it holds.
-        boolean unheard = !m.up && cluster.isUnsettled(m);
-        if (cluster.machine(m.id) != m || m.calling || m.address == null || now < m.callAfter || !needsCall(m)
-                || !unheard && (!m.up || m.silent(now))) {
-            return null;
-        }
-        List<Command> commands = new ArrayList<>();
-        List<Attempt> launches = new ArrayList<>();
-        if (m.settled) {
-            commands(m, commands, launches, true);
-        }
-        for (Attempt a : launches) {
-            a.sent = true;
-            a.inFlight++;
-        }
-        m.calling = true;
-        // A wrong guess of the session is harmless: nothing is executed, and the refusal tells the right one.
-        return new Cluster.Call(m, Math.max(1, m.session), commands, launches);
+  private boolean dueStop(Attempt a) {
+    return a.stopping && loop.now() >= a.stopSentAt + settings.reportS() * 2 / 3;
+  }
+
+  /** What to send to a machine now, or null. */
+  Cluster.Call call(Machine m) {
+    double now = loop.now();
+    // One that has not found this leader yet is asked where it is: tasks of older jobs wait for
+    // what it holds.
+    boolean unheard = !m.up && cluster.isUnsettled(m);
+    if (cluster.machine(m.id) != m
+        || m.calling
+        || m.address == null
+        || now < m.callAfter
+        || !needsCall(m)
+        || !unheard && (!m.up || m.silent(now))) {
+      return null;
+    }
+    List<Command> commands = new ArrayList<>();
+    List<Attempt> launches = new ArrayList<>();
+    if (m.settled) {
+      commands(m, commands, launches, true);
+    }
+    for (Attempt a : launches) {
+      a.sent = true;
+      a.inFlight++;
     }
+    m.calling = true;
+    // A wrong guess of the session is harmless: nothing is executed, and the refusal tells the
+    // right one.
+    return new Cluster.Call(m, Math.max(1, m.session), commands, launches);
+  }
 
-    /** What became of a call: 200, 409, not sent, or anything else, which may yet be carried out. */
-    void called(Cluster.Call call, boolean executed, boolean surelyNot, Report report) {
-        Machine m = call.machine();
-        m.calling = false;
-        m.changed();
-        for (Attempt a : call.launches()) {
-            a.inFlight--;
-            if (!executed && !surelyNot) {
-                a.loose = true;
-            }
-            if (surelyNot && a.state == Attempt.State.SENDING && !a.launchMayArrive()) {
-                a.sent = false;
-                if (a.stopping && m.attempts.get(a.task) == a) {
-                    cluster.over(a);
-                }
-            }
-        }
-        if (report != null) {
-            cluster.hearing().hears(m);
-            cluster.answered(m, report);
-        }
-        if (executed || surelyNot && report != null) {
-            m.failedCalls = 0;
-        } else {
-            m.failedCalls = Math.min(m.failedCalls + 1, 5);
-            m.callAfter = loop.now() + settings.reportS() / 6 * m.failedCalls;
-        }
-        for (Attempt a : call.launches()) {
-            // Executed, or refused, and yet the worker does not show it: it is not there.
-            if (report != null && a.state == Attempt.State.SENDING && !a.launchMayArrive()
-                    && m.attempts.get(a.task) == a) {
-                cluster.over(a);
-            }
-        }
-        if (cluster.machine(m.id) == m && needsCall(m)) {
-            waiting.add(m);
+  /** What became of a call: 200, 409, not sent, or anything else, which may yet be carried out. */
+  void called(Cluster.Call call, boolean executed, boolean surelyNot, Report report) {
+    Machine m = call.machine();
+    m.calling = false;
+    m.changed();
+    for (Attempt a : call.launches()) {
+      a.inFlight--;
+      if (!executed && !surelyNot) {
+        a.loose = true;
+      }
+      if (surelyNot && a.state == Attempt.State.SENDING && !a.launchMayArrive()) {
+        a.sent = false;
+        if (a.stopping && m.attempts.get(a.task) == a) {
+          cluster.over(a);
         }
+      }
+    }
+    if (report != null) {
+      cluster.hearing().hears(m);
+      cluster.answered(m, report);
+    }
+    if (executed || surelyNot && report != null) {
+      m.failedCalls = 0;
+    } else {
+      m.failedCalls = Math.min(m.failedCalls + 1, 5);
+      m.callAfter = loop.now() + settings.reportS() / 6 * m.failedCalls;
+    }
+    for (Attempt a : call.launches()) {
+      // Executed, or refused, and yet the worker does not show it: it is not there.
+      if (report != null
+          && a.state == Attempt.State.SENDING
+          && !a.launchMayArrive()
+          && m.attempts.get(a.task) == a) {
+        cluster.over(a);
+      }
     }
+    if (cluster.machine(m.id) == m && needsCall(m)) {
+      waiting.add(m);
+    }
+  }
 
-    /** Machines whose calls failed and may be tried again. */
-    void retry() {
-        for (Machine m : cluster.machines()) {
-            if (m.up && !m.calling && needsCall(m)) {
-                waiting.add(m);
-            }
-        }
+  /** Machines whose calls failed and may be tried again. */
+  void retry() {
+    for (Machine m : cluster.machines()) {
+      if (m.up && !m.calling && needsCall(m)) {
+        waiting.add(m);
+      }
     }
+  }
 
-    /** Commands for the answer to a report: stops, what may be forgotten, and launches whose delivery is in doubt. */
-    List<Command> responseCommands(Machine m) {
-        List<Command> commands = new ArrayList<>();
-        if (m.settled) {
-            commands(m, commands, new ArrayList<>(), false);
-        }
-        return commands;
+  /**
+   * Commands for the answer to a report: stops, what may be forgotten, and launches whose delivery
+   * is in doubt.
+   */
+  List<Command> responseCommands(Machine m) {
+    List<Command> commands = new ArrayList<>();
+    if (m.settled) {
+      commands(m, commands, new ArrayList<>(), false);
     }
+    return commands;
+  }
 
-    private void commands(Machine m, List<Command> commands, List<Attempt> launches, boolean direct) {
-        for (Attempt a : m.attempts.values()) {
-            if (commands.size() >= MOST_COMMANDS) {
-                return;
-            }
-            boolean sending = a.state == Attempt.State.SENDING;
-            if (sending && !launchDue(a)) {
-                continue;
-            }
-            if (sending && !direct && m.failedCalls > 0 && a.inFlight == 0) {
-                // The worker reaches us, perhaps through a peer, and we do not reach it: its reports take launches.
-                a.sent = true;
-                a.loose = true;
-            }
-            if (sending && (direct ? a.inFlight == 0 : a.loose)) {
-                // A launch that is in doubt is repeated until the worker shows it, also when it is not wanted any
-                // more: a worker that knows the attempt is over will not start it when the lost copy arrives.
-                commands.add(Command.start(a.task, a.number));
-                launches.add(a);
-                if (a.stopping) {
-                    commands.add(Command.stop(a.task, a.number, 0));
-                }
-            } else if (!sending && dueStop(a)) {
-                commands.add(Command.stop(a.task, a.number, a.graceS));
-                a.stopSentAt = loop.now();
-            }
-        }
-        for (Attempt a : m.exited.values()) {
-            if (commands.size() >= MOST_COMMANDS) {
-                return;
-            }
-            Job job = cluster.job(a.task.job());
-            if (!a.launchMayArrive() && (!a.done || job == null || job.saved.get(a.task.index()))) {
-                commands.add(Command.forget(a.task, a.number));
-            }
+  private void commands(Machine m, List<Command> commands, List<Attempt> launches, boolean direct) {
+    for (Attempt a : m.attempts.values()) {
+      if (commands.size() >= MOST_COMMANDS) {
+        return;
+      }
+      boolean sending = a.state == Attempt.State.SENDING;
+      if (sending && !launchDue(a)) {
+        continue;
+      }
+      if (sending && !direct && m.failedCalls > 0 && a.inFlight == 0) {
+        // The worker reaches us, perhaps through a peer, and we do not reach it: its reports take
+        // launches.
+        a.sent = true;
+        a.loose = true;
+      }
+      if (sending && (direct ? a.inFlight == 0 : a.loose)) {
+        // A launch that is in doubt is repeated until the worker shows it, also when it is not
+        // wanted any
+        // more: a worker that knows the attempt is over will not start it when the lost copy
+        // arrives.
+        commands.add(Command.start(a.task, a.number));
+        launches.add(a);
+        if (a.stopping) {
+          commands.add(Command.stop(a.task, a.number, 0));
         }
+      } else if (!sending && dueStop(a)) {
+        commands.add(Command.stop(a.task, a.number, a.graceS));
+        a.stopSentAt = loop.now();
+      }
+    }
+    for (Attempt a : m.exited.values()) {
+      if (commands.size() >= MOST_COMMANDS) {
+        return;
+      }
+      Job job = cluster.job(a.task.job());
+      if (!a.launchMayArrive() && (!a.done || job == null || job.saved.get(a.task.index()))) {
+        commands.add(Command.forget(a.task, a.number));
+      }
     }
+  }
 }
--- a/src/main/java/org/saffronshore/cluster/Hearing.java
+++ b/src/main/java/org/saffronshore/cluster/Hearing.java
@@ -7,76 +7,84 @@
 
 /** Finds the machines that are heard and yet hear nothing. */
 public final class Hearing {
-    private static final Logger LOG = LoggerFactory.getLogger(Hearing.class);
-    /** A machine that shows no sign of having heard us for so many reports counts as deaf. */
-    private static final double DEAF_REPORTS = 3;
-    /** When more than this share of the machines seem deaf, it is this node that is not heard. */
-    private static final double DEAF_SHARE = 0.05;
+  private static final Logger LOG = LoggerFactory.getLogger(Hearing.class);
 
-    private final Cluster cluster;
-    private final Loop loop;
-    private final Settings settings;
+  /** A machine that shows no sign of having heard us for so many reports counts as deaf. */
+  private static final double DEAF_REPORTS = 3;
 
-    Hearing(Cluster cluster, Loop loop, Settings settings) {
-        this.cluster = cluster;
-        this.loop = loop;
-        this.settings = settings;
-    }
+  /** When more than this share of the machines seem deaf, it is this node that is not heard. */
+  private static final double DEAF_SHARE = 0.05;
 
-    /**
-     * Looks for machines that report and yet hear nothing: their reports come, but the term's token does not show, or
-     * what they are told does not happen. They get no new work, and are returned. Their tasks are placed again when
-     * the cloud has answered that, or, in the term that started them, with the machine's next session: launches name
-     * the session, so none of ours can arrive in a later one. A session that is new to this term proves nothing of
-     * what earlier leaders did: they may have known it, and a launch of theirs may still arrive there as long as the
-     * machine has not seen our token. So that is not relied on.
-     */
-    public void find() {
-        double now = loop.now();
-        double patience = DEAF_REPORTS * settings.reportS();
-        for (Machine m : cluster.machines()) {
-            if (!m.up || m.deaf || m.silent(now)) {
-                continue;
-            }
-            boolean untold = !m.settled && since(m.firstAnsweredAt) > patience;
-            if (untold || m.attempts.values().stream().anyMatch(a -> a.state == Attempt.State.SENDING && a.loose
-                    && since(a.placedAt) > patience)) {
-                suspect(m);
-            }
-        }
-    }
+  private final Cluster cluster;
+  private final Loop loop;
+  private final Settings settings;
 
-    /** For how long a machine has had the chance to hear us: none while we stood still. */
-    private double since(double moment) {
-        return loop.now() - Math.max(moment, cluster.awakeSince());
-    }
+  Hearing(Cluster cluster, Loop loop, Settings settings) {
+    this.cluster = cluster;
+    this.loop = loop;
+    this.settings = settings;
+  }
 
-    void suspect(Machine m) {
-        LOG.debug("machine {} does not seem to hear us", m.id);
-        m.deaf = true;
-        m.deafSince = loop.now();
-        m.changed();
-        cluster.changed();
-        cluster.callDue(m);
+  /**
+   * Looks for machines that report and yet hear nothing: their reports come, but the term's token
+   * does not show, or what they are told does not happen. They get no new work, and are returned.
+   * Their tasks are placed again when the cloud has answered that, or, in the term that started
+   * them, with the machine's next session: launches name the session, so none of ours can arrive in
+   * a later one. A session that is new to this term proves nothing of what earlier leaders did:
+   * they may have known it, and a launch of theirs may still arrive there as long as the machine
+   * has not seen our token. So that is not relied on.
+   */
+  public void find() {
+    double now = loop.now();
+    double patience = DEAF_REPORTS * settings.reportS();
+    for (Machine m : cluster.machines()) {
+      if (!m.up || m.deaf || m.silent(now)) {
+        continue;
+      }
+      boolean untold = !m.settled && since(m.firstAnsweredAt) > patience;
+      if (untold
+          || m.attempts.values().stream()
+              .anyMatch(
+                  a ->
+                      a.state == Attempt.State.SENDING
+                          && a.loose
+                          && since(a.placedAt) > patience)) {
+        suspect(m);
+      }
     }
+  }
+
+  /** For how long a machine has had the chance to hear us: none while we stood still. */
+  private double since(double moment) {
+    return loop.now() - Math.max(moment, cluster.awakeSince());
+  }
+
+  void suspect(Machine m) {
+    LOG.debug("machine {} does not seem to hear us", m.id);
+    m.deaf = true;
+    m.deafSince = loop.now();
+    m.changed();
+    cluster.changed();
+    cluster.callDue(m);
+  }
 
-    /** There is proof that something we said has reached the machine. */
-    void hears(Machine m) {
-        if (m.deaf) {
-            m.deaf = false;
-            cluster.changed();
-        }
+  /** There is proof that something we said has reached the machine. */
+  void hears(Machine m) {
+    if (m.deaf) {
+      m.deaf = false;
+      cluster.changed();
     }
+  }
 
-    /**
-     * Whether a machine has not heard us for so long that it is of no use. Should many seem deaf, then it is we who
-     * cannot be heard, and the machines are not to blame.
-     */
-    public boolean useless(Machine m) {
-        if (!m.deaf || since(m.deafSince) < 2 * settings.reportS()) {
-            return false;
-        }
-        long deaf = cluster.machines().stream().filter(other -> other.deaf).count();
-        return deaf <= Math.max(2, cluster.machines().size() * DEAF_SHARE);
+  /**
+   * Whether a machine has not heard us for so long that it is of no use. Should many seem deaf,
+   * then it is we who cannot be heard, and the machines are not to blame.
+   */
+  public boolean useless(Machine m) {
+    if (!m.deaf || since(m.deafSince) < 2 * settings.reportS()) {
+      return false;
     }
+    long deaf = cluster.machines().stream().filter(other -> other.deaf).count();
+    return deaf <= Math.max(2, cluster.machines().size() * DEAF_SHARE);
+  }
 }
--- a/src/main/java/org/saffronshore/cluster/Reports.java
+++ b/src/main/java/org/saffronshore/cluster/Reports.java
@@ -10,276 +10,304 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** What a worker's report says, brought into the cluster: sessions, tasks that run, tasks that are over and why. */
+/**
+ * What a worker's report says, brought into the cluster: sessions, tasks that run, tasks that are
+ * over and why.
+ */
 final class Reports {
-    private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
-    /** A job that failed on this many machines in a row is itself at fault. */
-    private static final int BAD_JOB_MACHINES = 3;
+  private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
 
-    private final Cluster cluster;
-    private final Loop loop;
-    private final Settings settings;
+  /** A job that failed on this many machines in a row is itself at fault. */
+  private static final int BAD_JOB_MACHINES = 3;
 
-    Reports(Cluster cluster, Loop loop, Settings settings) {
-        this.cluster = cluster;
-        this.loop = loop;
-        this.settings = settings;
-    }
+  private final Cluster cluster;
+  private final Loop loop;
+  private final Settings settings;
 
-    /** Takes a report that the worker sent by itself, and that is going to be answered with 200. */
-    Machine reported(Report r) {
-        if (cluster.isGone(r.machine())) {
-            return null;
-        }
-        Machine m = cluster.known(r.machine());
-        double now = loop.now();
-        if (Double.isNaN(m.firstAnsweredAt)) {
-            m.firstAnsweredAt = now;
-        }
-        m.answeredBefore = m.answeredAt;
-        // What is older than the newest message was sent before that one came. So however late it is, and whether it
-        // is a copy or not, our answer renews the lease for no longer than from then on: copies do not hold for ever.
-        m.answeredAt = r.newerThan(m.session, m.seq) ? now : Math.max(m.answeredAt, m.heardAt);
-        m.type = r.type();
-        m.zone = r.zone();
-        m.spot = r.spot();
-        Cluster.setAddress(m, r.address());
-        if (r.session() > m.deadSession && r.newerThan(m.reportSession, m.reportSeq)) {
-            m.reportSession = r.session();
-            m.reportSeq = r.seq();
-            m.quietSince = now;
-        }
-        apply(m, r);
-        return m;
+  Reports(Cluster cluster, Loop loop, Settings settings) {
+    this.cluster = cluster;
+    this.loop = loop;
+    this.settings = settings;
+  }
+
+  /** Takes a report that the worker sent by itself, and that is going to be answered with 200. */
+  Machine reported(Report r) {
+    if (cluster.isGone(r.machine())) {
+      return null;
+    }
+    Machine m = cluster.known(r.machine());
+    double now = loop.now();
+    if (Double.isNaN(m.firstAnsweredAt)) {
+      m.firstAnsweredAt = now;
+    }
+    m.answeredBefore = m.answeredAt;
+    // What is older than the newest message was sent before that one came. So however late it is,
+    // and whether it
+    // is a copy or not, our answer renews the lease for no longer than from then on: copies do not
+    // hold for ever.
+    m.answeredAt = r.newerThan(m.session, m.seq) ? now : Math.max(m.answeredAt, m.heardAt);
+    m.type = r.type();
+    m.zone = r.zone();
+    m.spot = r.spot();
+    Cluster.setAddress(m, r.address());
+    if (r.session() > m.deadSession && r.newerThan(m.reportSession, m.reportSeq)) {
+      m.reportSession = r.session();
+      m.reportSeq = r.seq();
+      m.quietSince = now;
     }
+    apply(m, r);
+    return m;
+  }
 
-    /** Takes the report in a worker's answer to a direct command, which renews no lease. */
-    void answered(Machine m, Report r) {
-        if (cluster.machine(m.id) == m) {
-            // A worker that reaches no controller still answers calls. That does not make it one to rely on: its lease
-            // runs out. So only the first answer counts, of a machine that is about to find this leader.
-            if (m.quietSince == Double.NEGATIVE_INFINITY) {
-                m.quietSince = loop.now();
-            }
-            apply(m, r);
-        }
+  /** Takes the report in a worker's answer to a direct command, which renews no lease. */
+  void answered(Machine m, Report r) {
+    if (cluster.machine(m.id) == m) {
+      // A worker that reaches no controller still answers calls. That does not make it one to rely
+      // on: its lease
+      // runs out. So only the first answer counts, of a machine that is about to find this leader.
+      if (m.quietSince == Double.NEGATIVE_INFINITY) {
+        m.quietSince = loop.now();
+      }
+      apply(m, r);
     }
+  }
 
-    private void apply(Machine m, Report r) {
-        if (r.session() <= m.deadSession || !r.newerThan(m.session, m.seq)) {
-            return;
-        }
-        double now = loop.now();
-        if (r.session() > m.session) {
-            if (m.session > 0 && !m.attempts.isEmpty()) {
-                LOG.debug("machine {} began session {}: what it held is gone", m.id, r.session());
-            }
-            for (Attempt a : m.allAttempts()) {
-                cluster.over(a);
-            }
-            m.exited.clear();
-            m.changed();
-            // Its lease ran out although its reports were answered: it may not hear us.
-            if (m.session > 0 && now < m.answeredBefore + Settings.shrunk(settings.leaseS()) && !m.deaf) {
-                cluster.hearing().suspect(m);
-            }
-            m.session = r.session();
-            // Whatever the machine was told last, a session that is new here may have begun a moment ago, with a lease
-            // of its own from then on.
-            m.answeredAt = Math.max(m.answeredAt, now);
-        }
-        m.seq = r.seq();
-        m.heardAt = now;
-        if (!m.up) {
-            m.up = true;
-            m.upAt = Double.isNaN(m.upAt) ? now : m.upAt;
-            m.idleSince = now;
-            cluster.changed();
-            LOG.debug("machine {} is up after {} s ({} in {}, spot {})", m.id, Math.round(now - m.rentedAt), m.type,
-                    m.zone, m.spot);
-        }
-        boolean noticedNow = false;
-        if (r.noticeS() != null) {
-            if (!m.noticed()) {
-                LOG.debug("machine {} is to be taken back in {} s", m.id, r.noticeS());
-                cluster.changed();
-                noticedNow = true;
-            }
-            m.noticeUntil = now + r.noticeS();
-        }
-        boolean settledNow = !m.settled && r.token() >= cluster.term();
-        if (settledNow) {
-            cluster.hearing().hears(m);
-        }
-        if ((m.settled || settledNow) && !m.inRoster) {
-            cluster.roster().enter(m);
-        }
-        // Most reports say nothing new, and there are hundreds in a second.
-        if (!settledNow && !noticedNow && r.tasks().equals(m.applied)) {
-            if (cluster.needsCall(m)) {
-                cluster.callDue(m);
-            }
-            return;
-        }
-        m.host = null;
-        Set<TaskId> seen = new HashSet<>();
-        for (Report.Task t : r.tasks()) {
-            seen.add(t.task());
-            apply(m, t);
-        }
-        for (Attempt a : m.allAttempts()) {
-            if (!seen.contains(a.task) && (a.state != Attempt.State.SENDING)) {
-                cluster.over(a);
-            }
-        }
-        m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
-        m.applied = r.tasks();
-        if (noticedNow) {
-            cluster.drain(m, r.noticeS());
-        }
-        if (settledNow) {
-            m.settled = true;
-            cluster.unsettled().remove(m);
-            cluster.changed();
-        }
-        if (m.settled) {
-            stopDuplicates(m);
-        }
-        if (m.attempts.isEmpty() != Double.isFinite(m.idleSince)) {
-            m.idleSince = m.attempts.isEmpty() ? now : Double.POSITIVE_INFINITY;
-        }
-        if (cluster.needsCall(m)) {
-            cluster.callDue(m);
-        }
+  private void apply(Machine m, Report r) {
+    if (r.session() <= m.deadSession || !r.newerThan(m.session, m.seq)) {
+      return;
+    }
+    double now = loop.now();
+    if (r.session() > m.session) {
+      if (m.session > 0 && !m.attempts.isEmpty()) {
+        LOG.debug("machine {} began session {}: what it held is gone", m.id, r.session());
+      }
+      for (Attempt a : m.allAttempts()) {
+        cluster.over(a);
+      }
+      m.exited.clear();
+      m.changed();
+      // Its lease ran out although its reports were answered: it may not hear us.
+      if (m.session > 0 && now < m.answeredBefore + Settings.shrunk(settings.leaseS()) && !m.deaf) {
+        cluster.hearing().suspect(m);
+      }
+      m.session = r.session();
+      // Whatever the machine was told last, a session that is new here may have begun a moment ago,
+      // with a lease
+      // of its own from then on.
+      m.answeredAt = Math.max(m.answeredAt, now);
+    }
+    m.seq = r.seq();
+    m.heardAt = now;
+    if (!m.up) {
+      m.up = true;
+      m.upAt = Double.isNaN(m.upAt) ? now : m.upAt;
+      m.idleSince = now;
+      cluster.changed();
+      LOG.debug(
+          "machine {} is up after {} s ({} in {}, spot {})",
+          m.id,
+          Math.round(now - m.rentedAt),
+          m.type,
+          m.zone,
+          m.spot);
+    }
+    boolean noticedNow = false;
+    if (r.noticeS() != null) {
+      if (!m.noticed()) {
+        LOG.debug("machine {} is to be taken back in {} s", m.id, r.noticeS());
+        cluster.changed();
+        noticedNow = true;
+      }
+      m.noticeUntil = now + r.noticeS();
     }
+    boolean settledNow = !m.settled && r.token() >= cluster.term();
+    if (settledNow) {
+      cluster.hearing().hears(m);
+    }
+    if ((m.settled || settledNow) && !m.inRoster) {
+      cluster.roster().enter(m);
+    }
+    // Most reports say nothing new, and there are hundreds in a second.
+    if (!settledNow && !noticedNow && r.tasks().equals(m.applied)) {
+      if (cluster.needsCall(m)) {
+        cluster.callDue(m);
+      }
+      return;
+    }
+    m.host = null;
+    Set<TaskId> seen = new HashSet<>();
+    for (Report.Task t : r.tasks()) {
+      seen.add(t.task());
+      apply(m, t);
+    }
+    for (Attempt a : m.allAttempts()) {
+      if (!seen.contains(a.task) && (a.state != Attempt.State.SENDING)) {
+        cluster.over(a);
+      }
+    }
+    m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
+    m.applied = r.tasks();
+    if (noticedNow) {
+      cluster.drain(m, r.noticeS());
+    }
+    if (settledNow) {
+      m.settled = true;
+      cluster.unsettled().remove(m);
+      cluster.changed();
+    }
+    if (m.settled) {
+      stopDuplicates(m);
+    }
+    if (m.attempts.isEmpty() != Double.isFinite(m.idleSince)) {
+      m.idleSince = m.attempts.isEmpty() ? now : Double.POSITIVE_INFINITY;
+    }
+    if (cluster.needsCall(m)) {
+      cluster.callDue(m);
+    }
+  }
 
-    private void apply(Machine m, Report.Task t) {
-        Attempt a = m.attempts.get(t.task());
-        Job job = cluster.job(t.task().job());
-        boolean inRange = job != null && t.task().index() < job.spec.tasks();
-        if (a == null || a.number != t.attempt()) {
-            Attempt old = m.exited.get(t.task());
-            if (old != null && old.number == t.attempt() && t.state() == Report.State.EXITED) {
-                return;
-            }
-            a = new Attempt(t.task(), t.attempt(), m, inRange ? job.spec : null, loop.now());
-            if (t.state() == Report.State.EXITED) {
-                exited(a, t.why(), inRange ? job : null);
-                return;
-            }
-            adopt(a, inRange ? job : null);
-        }
-        if (a.state == Attempt.State.SENDING) {
-            cluster.hearing().hears(m);
-        }
-        switch (t.state()) {
-            case FETCHING -> a.state = Attempt.State.FETCHING;
-            case RUNNING -> {
-                if (a.state != Attempt.State.RUNNING) {
-                    a.fromStart = a.number >> Cluster.TERM_SHIFT == cluster.term();
-                    a.state = Attempt.State.RUNNING;
-                    if (job != null) {
-                        job.begun = true;
-                    }
-                    a.runningSince = loop.now();
-                    useImage(m, a);
-                }
-            }
-            case SAVING -> a.state = Attempt.State.SAVING;
-            default -> exited(a, t.why(), inRange ? job : null);
+  private void apply(Machine m, Report.Task t) {
+    Attempt a = m.attempts.get(t.task());
+    Job job = cluster.job(t.task().job());
+    boolean inRange = job != null && t.task().index() < job.spec.tasks();
+    if (a == null || a.number != t.attempt()) {
+      Attempt old = m.exited.get(t.task());
+      if (old != null && old.number == t.attempt() && t.state() == Report.State.EXITED) {
+        return;
+      }
+      a = new Attempt(t.task(), t.attempt(), m, inRange ? job.spec : null, loop.now());
+      if (t.state() == Report.State.EXITED) {
+        exited(a, t.why(), inRange ? job : null);
+        return;
+      }
+      adopt(a, inRange ? job : null);
+    }
+    if (a.state == Attempt.State.SENDING) {
+      cluster.hearing().hears(m);
+    }
+    switch (t.state()) {
+      case FETCHING -> a.state = Attempt.State.FETCHING;
+      case RUNNING -> {
+        if (a.state != Attempt.State.RUNNING) {
+          a.fromStart = a.number >> Cluster.TERM_SHIFT == cluster.term();
+          a.state = Attempt.State.RUNNING;
+          if (job != null) {
+            job.begun = true;
+          }
+          a.runningSince = loop.now();
+          useImage(m, a);
         }
+      }
+      case SAVING -> a.state = Attempt.State.SAVING;
+      default -> exited(a, t.why(), inRange ? job : null);
     }
+  }
 
-    void useImage(Machine m, Attempt a) {
-        MachineType type = cluster.typeOf(m);
-        if (a.job != null && type != null) {
-            m.usesImage(a.job.image(), a.job.imageGb(), type.cacheGb());
-        }
+  void useImage(Machine m, Attempt a) {
+    MachineType type = cluster.typeOf(m);
+    if (a.job != null && type != null) {
+      m.usesImage(a.job.image(), a.job.imageGb(), type.cacheGb());
     }
+  }
 
-    /** A task is on a machine without this leader having put it there: it was left by an earlier one. */
-    private void adopt(Attempt a, Job job) {
-        Attempt other = a.machine.attempts.put(a.task, a);
-        a.machine.changed();
-        a.sent = true;
-        if (job == null) {
-            cluster.stop(a, 0, "its job is over");
-            return;
-        }
-        job.enter(a);
-        if (other != null) {
-            job.leave(other);
-        }
-        if (job.done.get(a.task.index())) {
-            cluster.stop(a, 0, "it is done already");
-        }
+  /**
+   * A task is on a machine without this leader having put it there: it was left by an earlier one.
+   */
+  private void adopt(Attempt a, Job job) {
+    Attempt other = a.machine.attempts.put(a.task, a);
+    a.machine.changed();
+    a.sent = true;
+    if (job == null) {
+      cluster.stop(a, 0, "its job is over");
+      return;
+    }
+    job.enter(a);
+    if (other != null) {
+      job.leave(other);
     }
+    if (job.done.get(a.task.index())) {
+      cluster.stop(a, 0, "it is done already");
+    }
+  }
 
-    /**
-     * Stops what is in two places. As long as one of the machines is not settled, what it shows may be over: a late
-     * copy of an old report must not end what truly cluster.runs().
-     */
-    private void stopDuplicates(Machine m) {
-        for (Attempt a : m.allAttempts()) {
-            Job job = cluster.job(a.task.job());
-            if (job == null || job.others.isEmpty()) {
-                continue;
-            }
-            Attempt placed = job.placed.get(a.task.index());
-            for (Attempt o : job.attemptsAt(a.task.index())) {
-                if (o != placed && o.machine.settled && placed.machine.settled && !o.stopping && !placed.stopping) {
-                    LOG.warn("task {} is on {} and also on {}: stopped there", o.task, placed.machine.id, o.machine.id);
-                    cluster.stop(o, 0, "it is elsewhere");
-                }
-            }
+  /**
+   * Stops what is in two places. As long as one of the machines is not settled, what it shows may
+   * be over: a late copy of an old report must not end what truly cluster.runs().
+   */
+  private void stopDuplicates(Machine m) {
+    for (Attempt a : m.allAttempts()) {
+      Job job = cluster.job(a.task.job());
+      if (job == null || job.others.isEmpty()) {
+        continue;
+      }
+      Attempt placed = job.placed.get(a.task.index());
+      for (Attempt o : job.attemptsAt(a.task.index())) {
+        if (o != placed
+            && o.machine.settled
+            && placed.machine.settled
+            && !o.stopping
+            && !placed.stopping) {
+          LOG.warn(
+              "task {} is on {} and also on {}: stopped there",
+              o.task,
+              placed.machine.id,
+              o.machine.id);
+          cluster.stop(o, 0, "it is elsewhere");
         }
+      }
     }
+  }
 
-    private void exited(Attempt a, Report.Why why, Job job) {
-        Machine m = a.machine;
-        boolean wasStopping = a.stopping;
-        boolean mine = m.attempts.get(a.task) == a;
-        a.state = Attempt.State.EXITED;
-        m.exited.put(a.task, a);
-        cluster.changed();
-        if (job != null && why == Report.Why.DONE) {
-            a.done = true;
-            cluster.runs().learn(a, loop.now());
-            if (!job.done.get(a.task.index())) {
-                job.done.set(a.task.index());
-                job.waiting.clear(a.task.index());
-                (job.complete() ? cluster.complete() : cluster.unsaved()).add(job);
-                for (Attempt other : job.attemptsAt(a.task.index())) {
-                    if (other != a) {
-                        cluster.stop(other, 0, "it is done already");
-                    }
-                }
-            }
-            job.failedOn.clear();
-            job.backOffs = 0;
-            m.strikes = 0;
-        }
-        cluster.over(a);
-        if (mine && why == Report.Why.ERROR && !wasStopping && job != null) {
-            failure(m, job, a);
-        } else if (mine && (why == Report.Why.NO_ROOM || why == Report.Why.BUSY || why == Report.Why.UNKNOWN)) {
-            LOG.debug("machine {} refused task {}: {}", m.id, a.task, why);
-            m.suspendedUntil = loop.now() + settings.reportS();
+  private void exited(Attempt a, Report.Why why, Job job) {
+    Machine m = a.machine;
+    boolean wasStopping = a.stopping;
+    boolean mine = m.attempts.get(a.task) == a;
+    a.state = Attempt.State.EXITED;
+    m.exited.put(a.task, a);
+    cluster.changed();
+    if (job != null && why == Report.Why.DONE) {
+      a.done = true;
+      cluster.runs().learn(a, loop.now());
+      if (!job.done.get(a.task.index())) {
+        job.done.set(a.task.index());
+        job.waiting.clear(a.task.index());
+        (job.complete() ? cluster.complete() : cluster.unsaved()).add(job);
+        for (Attempt other : job.attemptsAt(a.task.index())) {
+          if (other != a) {
+            cluster.stop(other, 0, "it is done already");
+          }
         }
+      }
+      job.failedOn.clear();
+      job.backOffs = 0;
+      m.strikes = 0;
+    }
+    cluster.over(a);
+    if (mine && why == Report.Why.ERROR && !wasStopping && job != null) {
+      failure(m, job, a);
+    } else if (mine
+        && (why == Report.Why.NO_ROOM || why == Report.Why.BUSY || why == Report.Why.UNKNOWN)) {
+      LOG.debug("machine {} refused task {}: {}", m.id, a.task, why);
+      m.suspendedUntil = loop.now() + settings.reportS();
     }
+  }
 
-    /** Tells a bad machine, which fails whatever it is given, from a bad job, which fails wherever it cluster.runs(). */
-    private void failure(Machine m, Job job, Attempt a) {
-        job.failedOn.add(m.id);
-        if (job.failedOn.size() >= BAD_JOB_MACHINES) {
-            job.backOffs = Math.min(job.backOffs + 1, 6);
-            // Never for long: it may have been the machines after all, and their trouble may be over.
-            job.backOffUntil = loop.now() + Math.min(settings.leaseS(), settings.reportS() * (1 << job.backOffs));
-            LOG.info("job {} failed on {} machines: backing off", job.spec.id(), job.failedOn.size());
-            return;
-        }
-        m.strikes++;
-        m.suspendedUntil = loop.now() + settings.reportS() * 2 * m.strikes;
-        LOG.debug("task {} failed on {}; failures there in a row: {}", a.task, m.id, m.strikes);
+  /**
+   * Tells a bad machine, which fails whatever it is given, from a bad job, which fails wherever it
+   * cluster.runs().
+   */
+  private void failure(Machine m, Job job, Attempt a) {
+    job.failedOn.add(m.id);
+    if (job.failedOn.size() >= BAD_JOB_MACHINES) {
+      job.backOffs = Math.min(job.backOffs + 1, 6);
+      // Never for long: it may have been the machines after all, and their trouble may be over.
+      job.backOffUntil =
+          loop.now() + Math.min(settings.leaseS(), settings.reportS() * (1 << job.backOffs));
+      LOG.info("job {} failed on {} machines: backing off", job.spec.id(), job.failedOn.size());
+      return;
     }
+    m.strikes++;
+    m.suspendedUntil = loop.now() + settings.reportS() * 2 * m.strikes;
+    LOG.debug("task {} failed on {}; failures there in a row: {}", a.task, m.id, m.strikes);
+  }
 }
--- a/src/main/java/org/saffronshore/cluster/Roster.java
+++ b/src/main/java/org/saffronshore/cluster/Roster.java
@@ -7,76 +7,80 @@
 import org.saffronshore.http.Loop;
 
 /**
- * What is to be written down about machines for the next leader. A machine gets tasks only while it is known to stand
- * there as one that may hold anything.
+ * What is to be written down about machines for the next leader. A machine gets tasks only while it
+ * is known to stand there as one that may hold anything.
  */
 public final class Roster {
-    private final Cluster cluster;
-    private final Loop loop;
-    private final Set<Machine> missing = new LinkedHashSet<>();
-    private final Set<Machine> toFreeze = new LinkedHashSet<>();
-    private final Set<String> left = new LinkedHashSet<>();
+  private final Cluster cluster;
+  private final Loop loop;
+  private final Set<Machine> missing = new LinkedHashSet<>();
+  private final Set<Machine> toFreeze = new LinkedHashSet<>();
+  private final Set<String> left = new LinkedHashSet<>();
 
-    Roster(Cluster cluster, Loop loop) {
-        this.cluster = cluster;
-        this.loop = loop;
-    }
+  Roster(Cluster cluster, Loop loop) {
+    this.cluster = cluster;
+    this.loop = loop;
+  }
 
-    /** The machine is ready for tasks but for its place. */
-    void enter(Machine m) {
-        m.frozen = false;
-        missing.add(m);
-    }
+  /** The machine is ready for tasks but for its place. */
+  void enter(Machine m) {
+    m.frozen = false;
+    missing.add(m);
+  }
 
-    void gone(Machine m) {
-        if (m.inRoster || m.rosterBusy) {
-            left.add(m.id);
-        }
+  void gone(Machine m) {
+    if (m.inRoster || m.rosterBusy) {
+      left.add(m.id);
     }
+  }
 
-    /** Whether there is anything to be written. */
-    public boolean due() {
-        return !missing.isEmpty() || !left.isEmpty() || !toFreeze.isEmpty();
-    }
+  /** Whether there is anything to be written. */
+  public boolean due() {
+    return !missing.isEmpty() || !left.isEmpty() || !toFreeze.isEmpty();
+  }
 
-    /** Machines that are gone for good: no later leader needs to account for them. */
-    public Set<String> left() {
-        return left;
-    }
+  /** Machines that are gone for good: no later leader needs to account for them. */
+  public Set<String> left() {
+    return left;
+  }
 
-    /** Gives machines whose reports have stopped nothing more, so that what they hold can be written down. */
-    public void freezeSilent() {
-        double now = loop.now();
-        for (Machine m : cluster.machines()) {
-            if (m.up && m.settled && m.inRoster && m.silent(now)) {
-                m.inRoster = false;
-                m.frozen = true;
-                m.rosterBusy = true;
-                toFreeze.add(m);
-            }
-        }
+  /**
+   * Gives machines whose reports have stopped nothing more, so that what they hold can be written
+   * down.
+   */
+  public void freezeSilent() {
+    double now = loop.now();
+    for (Machine m : cluster.machines()) {
+      if (m.up && m.settled && m.inRoster && m.silent(now)) {
+        m.inRoster = false;
+        m.frozen = true;
+        m.rosterBusy = true;
+        toFreeze.add(m);
+      }
     }
+  }
 
-    /** Machines of which it is to be written down what they hold. */
-    public List<Machine> takeFrozen() {
-        List<Machine> all = toFreeze.stream().filter(m -> m.frozen && cluster.machine(m.id) == m).toList();
-        toFreeze.clear();
-        return all;
-    }
+  /** Machines of which it is to be written down what they hold. */
+  public List<Machine> takeFrozen() {
+    List<Machine> all =
+        toFreeze.stream().filter(m -> m.frozen && cluster.machine(m.id) == m).toList();
+    toFreeze.clear();
+    return all;
+  }
 
-    /** Machines that are ready for tasks but for their place. */
-    public List<Machine> missing() {
-        missing.removeIf(m -> cluster.machine(m.id) != m);
-        missing.forEach(m -> m.rosterBusy = true);
-        return new ArrayList<>(missing);
-    }
+  /** Machines that are ready for tasks but for their place. */
+  public List<Machine> missing() {
+    missing.removeIf(m -> cluster.machine(m.id) != m);
+    missing.forEach(m -> m.rosterBusy = true);
+    return new ArrayList<>(missing);
+  }
 
-    /** The state service has confirmed their places. */
-    public void entered(List<Machine> added) {
-        for (Machine m : added) {
-            m.inRoster = true;
-            missing.remove(m);
-        }
-        cluster.changed();
+  /** The state service has confirmed their places. */
+  public void entered(List<Machine> added) {
+    for (Machine m : added) {
+      m.inRoster = true;
+      missing.remove(m);
     }
+    cluster.changed();
+  }
 }
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -23,255 +23,292 @@
 
 /** The cluster as the cycle and the fleet look at it. Reads only. */
 final class Views {
-    /** A job of which nothing has run for so many leases goes first, with one task. */
-    private static final double PATIENCE_LEASES = 4;
+  /** A job of which nothing has run for so many leases goes first, with one task. */
+  private static final double PATIENCE_LEASES = 4;
 
-    private final Cluster cluster;
-    private final Loop loop;
-    private final Settings settings;
+  private final Cluster cluster;
+  private final Loop loop;
+  private final Settings settings;
 
-    Views(Cluster cluster, Loop loop, Settings settings) {
-        this.cluster = cluster;
-        this.loop = loop;
-        this.settings = settings;
+  Views(Cluster cluster, Loop loop, Settings settings) {
+    this.cluster = cluster;
+    this.loop = loop;
+    this.settings = settings;
+  }
+
+  /** One line for the log: how much there is, and how much of it is used. */
+  String summary() {
+    int up = 0;
+    int coming = 0;
+    int fetching = 0;
+    double total = 0;
+    double used = 0;
+    double running = 0;
+    for (Machine m : cluster.machines()) {
+      MachineType type = cluster.typeOf(m);
+      if (!m.up || type == null) {
+        coming++;
+        continue;
+      }
+      up++;
+      total += type.cpus();
+      for (Attempt a : m.attempts.values()) {
+        double cpus = a.job == null ? 0 : a.job.cpus();
+        used += cpus;
+        running += a.state == Attempt.State.RUNNING ? cpus : 0;
+        fetching += a.state == Attempt.State.FETCHING ? 1 : 0;
+      }
+    }
+    int waiting = 0;
+    for (Job job : cluster.jobs()) {
+      waiting += job.ready ? job.waiting.cardinality() : 0;
     }
+    return cluster.machines().size()
+        + " machines ("
+        + up
+        + " up, "
+        + coming
+        + " coming or lost, "
+        + cluster.unsettledCount()
+        + " unaccounted), CPUs "
+        + Math.round(total)
+        + " up, "
+        + Math.round(used)
+        + " taken, "
+        + Math.round(running)
+        + " running; "
+        + cluster.jobs().size()
+        + " open jobs, "
+        + waiting
+        + " tasks waiting, "
+        + fetching
+        + " fetching; "
+        + cluster.dependencies().waiting()
+        + " jobs wait for others";
+  }
 
-    /** One line for the log: how much there is, and how much of it is used. */
-    String summary() {
-        int up = 0;
-        int coming = 0;
-        int fetching = 0;
-        double total = 0;
-        double used = 0;
-        double running = 0;
-        for (Machine m : cluster.machines()) {
-            MachineType type = cluster.typeOf(m);
-            if (!m.up || type == null) {
-                coming++;
-                continue;
-            }
-            up++;
-            total += type.cpus();
-            for (Attempt a : m.attempts.values()) {
-                double cpus = a.job == null ? 0 : a.job.cpus();
-                used += cpus;
-                running += a.state == Attempt.State.RUNNING ? cpus : 0;
-                fetching += a.state == Attempt.State.FETCHING ? 1 : 0;
-            }
-        }
-        int waiting = 0;
-        for (Job job : cluster.jobs()) {
-            waiting += job.ready ? job.waiting.cardinality() : 0;
-        }
-        return cluster.machines().size() + " machines (" + up + " up, " + coming + " coming or lost, " + cluster.unsettledCount()
-                + " unaccounted), CPUs " + Math.round(total) + " up, " + Math.round(used) + " taken, "
-                + Math.round(running) + " running; " + cluster.jobs().size() + " open jobs, " + waiting + " tasks waiting, "
-                + fetching + " fetching; " + cluster.dependencies().waiting() + " jobs wait for others";
+  /** What is free on a machine now, or null when nothing may be put there. */
+  Room freeOn(Machine m) {
+    MachineType type = cluster.typeOf(m);
+    if (type == null || !m.usable(loop.now())) {
+      return null;
+    }
+    Room room = Room.of(type);
+    for (Attempt a : m.attempts.values()) {
+      room.take(a.job);
     }
+    return room;
+  }
 
-    /** What is free on a machine now, or null when nothing may be put there. */
-    Room freeOn(Machine m) {
-        MachineType type = cluster.typeOf(m);
-        if (type == null || !m.usable(loop.now())) {
-            return null;
-        }
-        Room room = Room.of(type);
+  /**
+   * What the fleet may count on: machines that are up or coming.
+   *
+   * @param released whether to count what running tasks will leave
+   */
+  List<Forecast.Line> lines(double lateBoot, boolean released) {
+    double now = loop.now();
+    List<Forecast.Line> lines = new ArrayList<>();
+    for (Machine m : cluster.machines()) {
+      MachineType type = cluster.typeOf(m);
+      if (type == null
+          || m.failed
+          || m.returning
+          || m.noticed()
+          || m.distrusted()
+          || m.deaf
+          || m.up && !m.settled && m.silent(now)) {
+        continue;
+      }
+      Kind kind = m.kind();
+      Room room = Room.of(type);
+      if (m.up) {
+        Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
         for (Attempt a : m.attempts.values()) {
+          if (a.job != null) {
             room.take(a.job);
+            if (released) {
+              line.running(a.job, now + cluster.remainingS(a, now));
+            }
+          }
         }
-        return room;
+        lines.add(line);
+      } else if (!m.everUp() && now < m.rentedAt + type.bootS() * lateBoot) {
+        lines.add(new Forecast.Line(kind, room, Math.max(now, m.rentedAt + type.bootS())));
+      }
     }
+    return lines;
+  }
 
-    /**
-     * What the fleet may count on: machines that are up or coming.
-     *
-     * @param released whether to count what running tasks will leave
-     */
-    List<Forecast.Line> lines(double lateBoot, boolean released) {
-        double now = loop.now();
-        List<Forecast.Line> lines = new ArrayList<>();
-        for (Machine m : cluster.machines()) {
-            MachineType type = cluster.typeOf(m);
-            if (type == null || m.failed || m.returning || m.noticed() || m.distrusted() || m.deaf
-                    || m.up && !m.settled && m.silent(now)) {
-                continue;
-            }
-            Kind kind = m.kind();
-            Room room = Room.of(type);
-            if (m.up) {
-                Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
-                for (Attempt a : m.attempts.values()) {
-                    if (a.job != null) {
-                        room.take(a.job);
-                        if (released) {
-                            line.running(a.job, now + cluster.remainingS(a, now));
-                        }
-                    }
-                }
-                lines.add(line);
-            } else if (!m.everUp() && now < m.rentedAt + type.bootS() * lateBoot) {
-                lines.add(new Forecast.Line(kind, room, Math.max(now, m.rentedAt + type.bootS())));
-            }
+  /** How many tasks of each job there are on machines of some types. */
+  List<Displaced.Running> runningOn(Set<String> types) {
+    Map<String, Map<String, Displaced.Running>> all = new HashMap<>();
+    for (Machine m : cluster.machines()) {
+      if (m.up && types.contains(m.type)) {
+        for (Attempt a : m.attempts.values()) {
+          if (a.job != null) {
+            all.computeIfAbsent(m.type, t -> new LinkedHashMap<>())
+                .merge(
+                    a.job.id(),
+                    new Displaced.Running(m.type, a.job, 1),
+                    (r, one) -> new Displaced.Running(r.type(), r.job(), r.tasks() + 1));
+          }
         }
-        return lines;
+      }
     }
+    List<Displaced.Running> list = new ArrayList<>();
+    all.values().forEach(jobs -> list.addAll(jobs.values()));
+    return list;
+  }
 
-    /** How many tasks of each job there are on machines of some types. */
-    List<Displaced.Running> runningOn(Set<String> types) {
-        Map<String, Map<String, Displaced.Running>> all = new HashMap<>();
-        for (Machine m : cluster.machines()) {
-            if (m.up && types.contains(m.type)) {
-                for (Attempt a : m.attempts.values()) {
-                    if (a.job != null) {
-                        all.computeIfAbsent(m.type, t -> new LinkedHashMap<>()).merge(a.job.id(),
-                                new Displaced.Running(m.type, a.job, 1),
-                                (r, one) -> new Displaced.Running(r.type(), r.job(), r.tasks() + 1));
-                    }
-                }
-            }
+  /** Machines that can take tasks. What did not change since the last time is not made anew. */
+  List<Host> hosts() {
+    double now = loop.now();
+    List<Host> hosts = new ArrayList<>(cluster.machines().size());
+    for (Machine m : cluster.machines()) {
+      MachineType type = cluster.typeOf(m);
+      if (type == null || !m.usable(now)) {
+        continue;
+      }
+      if (m.host == null || m.host.touched()) {
+        m.host = new Host(m.id, m.kind(), Room.of(type), m::barred, m.images());
+        for (Attempt a : m.attempts.values()) {
+          m.host.add(new Slot(a.task, a.job, a.stopping, a.runningSince, a.overdue));
         }
-        List<Displaced.Running> list = new ArrayList<>();
-        all.values().forEach(jobs -> list.addAll(jobs.values()));
-        return list;
+      }
+      hosts.add(m.host);
     }
+    return hosts;
+  }
 
-    /** Machines that can take tasks. What did not change since the last time is not made anew. */
-    List<Host> hosts() {
-        double now = loop.now();
-        List<Host> hosts = new ArrayList<>(cluster.machines().size());
-        for (Machine m : cluster.machines()) {
-            MachineType type = cluster.typeOf(m);
-            if (type == null || !m.usable(now)) {
-                continue;
-            }
-            if (m.host == null || m.host.touched()) {
-                m.host = new Host(m.id, m.kind(), Room.of(type), m::barred, m.images());
-                for (Attempt a : m.attempts.values()) {
-                    m.host.add(new Slot(a.task, a.job, a.stopping, a.runningSince, a.overdue));
-                }
-            }
-            hosts.add(m.host);
+  /** Waiting tasks of the job but for those that machines not accounted for may hold. */
+  private BitSet seen(Job job, boolean anything) {
+    BitSet waiting = (BitSet) job.waiting.clone();
+    if (anything) {
+      waiting.andNot(job.launchedBefore());
+      return waiting;
+    }
+    for (Machine m : cluster.unsettled()) {
+      for (TaskId task : m.held) {
+        if (task.job().equals(job.spec.id())) {
+          waiting.clear(task.index());
         }
-        return hosts;
+      }
     }
+    return waiting;
+  }
 
-    /** Waiting tasks of the job but for those that machines not accounted for may hold. */
-    private BitSet seen(Job job, boolean anything) {
-        BitSet waiting = (BitSet) job.waiting.clone();
-        if (anything) {
-            waiting.andNot(job.launchedBefore());
-            return waiting;
+  List<Pending> pending(boolean written) {
+    double now = loop.now();
+    List<Pending> all = new ArrayList<>();
+    boolean anything = cluster.anythingUnseen();
+    for (Job job : cluster.jobs()) {
+      boolean older = cluster.mayBeUnseen(job);
+      if (!job.ready || job.waiting.isEmpty() || now < job.backOffUntil) {
+        continue;
+      }
+      BitSet waiting = older ? seen(job, anything) : job.waiting;
+      if (!written) {
+        waiting = waiting.get(0, Math.min(job.reach, job.spec.tasks()));
+      }
+      if (waiting.isEmpty()) {
+        continue;
+      }
+      Map<String, Integer> perZone = Map.of();
+      if (Pending.zonesMatter(job.spec)) {
+        if (cluster.zoneUnseen(job)) {
+          continue;
         }
-        for (Machine m : cluster.unsettled()) {
-            for (TaskId task : m.held) {
-                if (task.job().equals(job.spec.id())) {
-                    waiting.clear(task.index());
-                }
-            }
+        perZone = new HashMap<>();
+        for (Attempt a : job.placed.values()) {
+          perZone.merge(a.machine.zone, 1, Integer::sum);
         }
-        return waiting;
-    }
-
-    List<Pending> pending(boolean written) {
-        double now = loop.now();
-        List<Pending> all = new ArrayList<>();
-        boolean anything = cluster.anythingUnseen();
-        for (Job job : cluster.jobs()) {
-            boolean older = cluster.mayBeUnseen(job);
-            if (!job.ready || job.waiting.isEmpty() || now < job.backOffUntil) {
-                continue;
-            }
-            BitSet waiting = older ? seen(job, anything) : job.waiting;
-            if (!written) {
-                waiting = waiting.get(0, Math.min(job.reach, job.spec.tasks()));
-            }
-            if (waiting.isEmpty()) {
-                continue;
-            }
-            Map<String, Integer> perZone = Map.of();
-            if (Pending.zonesMatter(job.spec)) {
-                if (cluster.zoneUnseen(job)) {
-                    continue;
-                }
-                perZone = new HashMap<>();
-                for (Attempt a : job.placed.values()) {
-                    perZone.merge(a.machine.zone, 1, Integer::sum);
-                }
-                for (Attempt a : job.others) {
-                    perZone.merge(a.machine.zone, 1, Integer::sum);
-                }
-            }
-            Pending pending = new Pending(job.spec, job.version, waiting, perZone);
-            boolean waitsLong = job.waitedS(loop.wallMs()) > PATIENCE_LEASES * settings.leaseS();
-            all.add(waitsLong && !job.begun && job.done.isEmpty() && job.placed.isEmpty() ? pending.overdue() : pending);
+        for (Attempt a : job.others) {
+          perZone.merge(a.machine.zone, 1, Integer::sum);
         }
-        return all;
+      }
+      Pending pending = new Pending(job.spec, job.version, waiting, perZone);
+      boolean waitsLong = job.waitedS(loop.wallMs()) > PATIENCE_LEASES * settings.leaseS();
+      all.add(
+          waitsLong && !job.begun && job.done.isEmpty() && job.placed.isEmpty()
+              ? pending.overdue()
+              : pending);
     }
+    return all;
+  }
 
-    /** Teams with what their tasks use or may be using; {@code weights} are the operators' own. */
-    Map<String, Team> teams(Tuning tuning, Map<String, Double> weights) {
-        Map<String, Team> teams = new HashMap<>();
-        for (Settings.Team t : settings.teams().values()) {
-            double guarantee = t.cpus() + t.gpus();
-            teams.put(t.name(), new Team(t, weights.getOrDefault(t.name(), guarantee > 0 ? guarantee : 1.0)));
-        }
-        Room beside = new Room(0, 0, 0);
-        for (Machine m : cluster.machines()) {
-            boolean named = true;
-            for (Attempt a : m.attempts.values()) {
-                named &= a.job != null;
-                Team team = a.job == null ? null : teams.get(a.job.team());
-                if (team != null) {
-                    team.use(a.job, tuning);
-                }
-            }
-            if (!named) {
-                beside.give(beside(m));
-            }
+  /** Teams with what their tasks use or may be using; {@code weights} are the operators' own. */
+  Map<String, Team> teams(Tuning tuning, Map<String, Double> weights) {
+    Map<String, Team> teams = new HashMap<>();
+    for (Settings.Team t : settings.teams().values()) {
+      double guarantee = t.cpus() + t.gpus();
+      teams.put(
+          t.name(), new Team(t, weights.getOrDefault(t.name(), guarantee > 0 ? guarantee : 1.0)));
+    }
+    Room beside = new Room(0, 0, 0);
+    for (Machine m : cluster.machines()) {
+      boolean named = true;
+      for (Attempt a : m.attempts.values()) {
+        named &= a.job != null;
+        Team team = a.job == null ? null : teams.get(a.job.team());
+        if (team != null) {
+          team.use(a.job, tuning);
         }
-        countUnseen(teams, beside);
-        return teams;
+      }
+      if (!named) {
+        beside.give(beside(m));
+      }
     }
+    countUnseen(teams, beside);
+    return teams;
+  }
 
-    /** What tasks of jobs that are over can take on a machine: no report says whose they are, or how large. */
-    private Room beside(Machine m) {
-        MachineType type = cluster.typeOf(m);
-        Room room = type == null ? new Room(0, 0, 0) : Room.of(type);
-        m.attempts.values().stream().filter(a -> a.job != null).forEach(a -> room.take(a.job));
-        return room;
-    }
+  /**
+   * What tasks of jobs that are over can take on a machine: no report says whose they are, or how
+   * large.
+   */
+  private Room beside(Machine m) {
+    MachineType type = cluster.typeOf(m);
+    Room room = type == null ? new Room(0, 0, 0) : Room.of(type);
+    m.attempts.values().stream().filter(a -> a.job != null).forEach(a -> room.take(a.job));
+    return room;
+  }
 
-    /**
-     * What machines that are not accounted for can hold. Open jobs of earlier terms can fill them as far as they were
-     * launched; the rest may be tasks of any team whose jobs were cancelled a moment ago, unless it is written down
-     * what a machine holds, and all of that is of open jobs.
-     */
-    private void countUnseen(Map<String, Team> teams, Room beside) {
-        Room all = new Room(0, 0, 0);
-        Room unnamed = new Room(0, 0, 0);
-        for (Machine m : cluster.unsettled()) {
-            boolean named = m.held != null && m.held.stream().allMatch(task -> cluster.job(task.job()) != null);
-            MachineType type = cluster.typeOf(m);
-            for (MachineType t : type != null ? List.of(type) : List.copyOf(cluster.types().values())) {
-                all.give(Room.of(t));
-                if (!named) {
-                    unnamed.give(Room.of(t));
-                }
-            }
-        }
-        Map<String, Room> launched = new HashMap<>();
-        for (Job job : cluster.jobs()) {
-            if (cluster.mayBeUnseen(job)) {
-                launched.computeIfAbsent(job.spec.team(), t -> new Room(0, 0, 0))
-                        .give(job.spec, job.launchedBefore().cardinality());
-            }
+  /**
+   * What machines that are not accounted for can hold. Open jobs of earlier terms can fill them as
+   * far as they were launched; the rest may be tasks of any team whose jobs were cancelled a moment
+   * ago, unless it is written down what a machine holds, and all of that is of open jobs.
+   */
+  private void countUnseen(Map<String, Team> teams, Room beside) {
+    Room all = new Room(0, 0, 0);
+    Room unnamed = new Room(0, 0, 0);
+    for (Machine m : cluster.unsettled()) {
+      boolean named =
+          m.held != null && m.held.stream().allMatch(task -> cluster.job(task.job()) != null);
+      MachineType type = cluster.typeOf(m);
+      for (MachineType t : type != null ? List.of(type) : List.copyOf(cluster.types().values())) {
+        all.give(Room.of(t));
+        if (!named) {
+          unnamed.give(Room.of(t));
         }
-        teams.forEach((name, team) -> {
-            Room open = launched.getOrDefault(name, new Room(0, 0, 0));
-            double cpus = Math.min(all.cpus, open.cpus);
-            double gpus = Math.min(all.gpus, open.gpus);
-            team.maybe(cpus, gpus);
-            team.mayHold(beside.cpus + Math.max(0, unnamed.cpus - cpus), beside.gpus + Math.max(0, unnamed.gpus - gpus));
-        });
+      }
     }
+    Map<String, Room> launched = new HashMap<>();
+    for (Job job : cluster.jobs()) {
+      if (cluster.mayBeUnseen(job)) {
+        launched
+            .computeIfAbsent(job.spec.team(), t -> new Room(0, 0, 0))
+            .give(job.spec, job.launchedBefore().cardinality());
+      }
+    }
+    teams.forEach(
+        (name, team) -> {
+          Room open = launched.getOrDefault(name, new Room(0, 0, 0));
+          double cpus = Math.min(all.cpus, open.cpus);
+          double gpus = Math.min(all.gpus, open.gpus);
+          team.maybe(cpus, gpus);
+          team.mayHold(
+              beside.cpus + Math.max(0, unnamed.cpus - cpus),
+              beside.gpus + Math.max(0, unnamed.gpus - gpus));
+        });
+  }
 }
--- a/src/main/java/org/saffronshore/config/Settings.java
+++ b/src/main/java/org/saffronshore/config/Settings.java
@@ -12,111 +12,169 @@
 /**
  * The platform's settings file, checked. Fields that are not known here are ignored.
  *
- * @param laterStateRps what the state service will take from some moment on, without notice; as now if nothing is said
+ * @param laterStateRps what the state service will take from some moment on, without notice; as now
+ *     if nothing is said
  * @param valueKb how long a value may be, now and later
  * @param txnOps how many changes a transaction may have, now and later
  */
-public record Settings(String node, String zone, Address listen, Address peerListen, List<Peer> peers,
-        Address cloud, Address state, List<String> zones, Map<String, Team> teams, List<Objective> objectives,
-        double reportS, double leaseS, double cancelS, double stateRps, double stateWriteRps,
-        double laterStateRps, double laterStateWriteRps, double valueKb, int txnOps, double cloudRps, double listLagS, double cpuShare,
-        double memoryMb, int sockets, double clockOffS) {
+public record Settings(
+    String node,
+    String zone,
+    Address listen,
+    Address peerListen,
+    List<Peer> peers,
+    Address cloud,
+    Address state,
+    List<String> zones,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    double reportS,
+    double leaseS,
+    double cancelS,
+    double stateRps,
+    double stateWriteRps,
+    double laterStateRps,
+    double laterStateWriteRps,
+    double valueKb,
+    int txnOps,
+    double cloudRps,
+    double listLagS,
+    double cpuShare,
+    double memoryMb,
+    int sockets,
+    double clockOffS) {
 
-    /** The steady clocks of two machines may run apart by this share of the time that passes. */
-    public static final double DRIFT = 0.0005;
+  /** The steady clocks of two machines may run apart by this share of the time that passes. */
+  public static final double DRIFT = 0.0005;
 
-    private static final double MOST = 1e9;
-    private static final int MOST_TXN_OPS = 1_000_000;
+  private static final double MOST = 1e9;
+  private static final int MOST_TXN_OPS = 1_000_000;
 
-    public record Address(String host, int port) {
-        public static Address parse(String field, String text) throws InvalidField {
-            int colon = text.lastIndexOf(':');
-            try {
-                if (colon > 0) {
-                    int port = Integer.parseInt(text.substring(colon + 1));
-                    if (port >= 0 && port < 65536) {
-                        return new Address(text.substring(0, colon), port);
-                    }
-                }
-            } catch (NumberFormatException e) {
-                // Falls through to the one message for every ill-formed address.
-            }
-            throw new InvalidField(field, "must be an address such as 10.0.0.1:8080");
+  public record Address(String host, int port) {
+    public static Address parse(String field, String text) throws InvalidField {
+      int colon = text.lastIndexOf(':');
+      try {
+        if (colon > 0) {
+          int port = Integer.parseInt(text.substring(colon + 1));
+          if (port >= 0 && port < 65536) {
+            return new Address(text.substring(0, colon), port);
+          }
         }
+      } catch (NumberFormatException e) {
+        // Falls through to the one message for every ill-formed address.
+      }
+      throw new InvalidField(field, "must be an address such as 10.0.0.1:8080");
+    }
 
-        @Override
-        public String toString() {
-            return host + ":" + port;
-        }
+    @Override
+    public String toString() {
+      return host + ":" + port;
     }
+  }
 
-    public record Peer(String node, String zone, Address address) {}
+  public record Peer(String node, String zone, Address address) {}
 
-    /** A team's guarantee and limit; a limit of 0 means none. */
-    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+  /** A team's guarantee and limit; a limit of 0 means none. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
-    /** An aim of the users; {@code jobClass} is null where it concerns every class. */
-    public record Objective(String kind, String jobClass, double share, double times, double withinS) {}
+  /** An aim of the users; {@code jobClass} is null where it concerns every class. */
+  public record Objective(
+      String kind, String jobClass, double share, double times, double withinS) {}
 
-    /** Controllers of this deployment, this one included. */
-    public int controllers() {
-        return peers.size() + 1;
-    }
+  /** Controllers of this deployment, this one included. */
+  public int controllers() {
+    return peers.size() + 1;
+  }
 
-    /** The longest that a time of ours, measured on another machine's clock, can last on this one's. */
-    public static double stretched(double seconds) {
-        return seconds * (1 + 2 * DRIFT);
-    }
+  /**
+   * The longest that a time of ours, measured on another machine's clock, can last on this one's.
+   */
+  public static double stretched(double seconds) {
+    return seconds * (1 + 2 * DRIFT);
+  }
 
-    /** The shortest that a time of ours, measured on another machine's clock, can last on this one's. */
-    public static double shrunk(double seconds) {
-        return seconds * (1 - 2 * DRIFT);
-    }
+  /**
+   * The shortest that a time of ours, measured on another machine's clock, can last on this one's.
+   */
+  public static double shrunk(double seconds) {
+    return seconds * (1 - 2 * DRIFT);
+  }
 
-    public static Settings parse(JsonNode root) throws InvalidField {
-        Fields f = Fields.of(root, "");
-        Fields services = f.object("services");
-        Fields cluster = f.object("cluster");
-        Fields workers = cluster.object("workers");
-        Fields state = cluster.object("state");
-        Fields next = state.has("next") ? state.object("next") : new Fields(Json.object(), "cluster.state.next");
-        double rps = state.number("rps", 1, MOST);
-        double writeRps = state.number("write_rps", 1, MOST);
-        double valueKb = state.number("value_kb", 1, MOST);
-        int txnOps = (int) state.count("txn_ops", 2, MOST_TXN_OPS);
-        Fields cloud = cluster.object("cloud");
-        Fields limits = cluster.object("limits");
-        List<Peer> peers = new ArrayList<>();
-        for (Fields p : f.objects("peers")) {
-            peers.add(new Peer(p.text("node"), p.textOrNull("area"), Address.parse(p.path() + ".addr", p.text("addr"))));
-        }
-        Map<String, Team> teams = new LinkedHashMap<>();
-        for (Fields t : cluster.objects("teams")) {
-            Team team = new Team(t.text("name"), t.number("cpus", 0, MOST, 0), t.number("cpus_max", 0, MOST, 0),
-                    t.number("gpus", 0, MOST, 0), t.number("gpus_max", 0, MOST, 0));
-            if (teams.put(team.name(), team) != null) {
-                throw new InvalidField(t.path() + ".name", "is there twice");
-            }
-        }
-        List<Objective> objectives = new ArrayList<>();
-        if (cluster.has("objectives")) {
-            for (Fields o : cluster.objects("objectives")) {
-                objectives.add(new Objective(o.text("kind"), o.textOrNull("class"), o.number("share", 0, 1, 0),
-                        o.number("times", 0, MOST, 1), o.number("within_s", 0, MOST, 0)));
-            }
-        }
-        List<String> zones = cluster.textsOrNull("zones");
-        return new Settings(f.text("node"), f.textOrNull("area"), Address.parse("serve_on", f.text("serve_on")),
-                Address.parse("peer_bind", f.text("peer_bind")), List.copyOf(peers),
-                Address.parse("services.cloud", services.text("cloud")),
-                Address.parse("services.state", services.text("state")),
-                zones == null ? List.of() : zones, teams, List.copyOf(objectives),
-                workers.number("report_s", 0.01, MOST), workers.number("lease_s", 0.1, MOST),
-                workers.number("cancel_s", 0.1, MOST), rps, writeRps, next.number("rps", 1, MOST, rps),
-                next.number("write_rps", 1, MOST, writeRps), Math.min(valueKb, next.number("value_kb", 1, MOST, valueKb)),
-                next.has("txn_ops") ? Math.min(txnOps, (int) next.count("txn_ops", 2, MOST_TXN_OPS)) : txnOps, cloud.number("rps", 0.01, MOST),
-                cloud.number("list_lag_s", 0, MOST), limits.number("core_share", 0.001, MOST, 1),
-                limits.number("memory_mb", 1, MOST, 256), (int) limits.number("sockets", 16, MOST, 1024),
-                cluster.number("clock_off_ms", 0, MOST, MOST) / 1000);
+  public static Settings parse(JsonNode root) throws InvalidField {
+    Fields f = Fields.of(root, "");
+    Fields services = f.object("services");
+    Fields cluster = f.object("cluster");
+    Fields workers = cluster.object("workers");
+    Fields state = cluster.object("state");
+    Fields next =
+        state.has("next") ? state.object("next") : new Fields(Json.object(), "cluster.state.next");
+    double rps = state.number("rps", 1, MOST);
+    double writeRps = state.number("write_rps", 1, MOST);
+    double valueKb = state.number("value_kb", 1, MOST);
+    int txnOps = (int) state.count("txn_ops", 2, MOST_TXN_OPS);
+    Fields cloud = cluster.object("cloud");
+    Fields limits = cluster.object("limits");
+    List<Peer> peers = new ArrayList<>();
+    for (Fields p : f.objects("peers")) {
+      peers.add(
+          new Peer(
+              p.text("node"),
+              p.textOrNull("area"),
+              Address.parse(p.path() + ".addr", p.text("addr"))));
+    }
+    Map<String, Team> teams = new LinkedHashMap<>();
+    for (Fields t : cluster.objects("teams")) {
+      Team team =
+          new Team(
+              t.text("name"),
+              t.number("cpus", 0, MOST, 0),
+              t.number("cpus_max", 0, MOST, 0),
+              t.number("gpus", 0, MOST, 0),
+              t.number("gpus_max", 0, MOST, 0));
+      if (teams.put(team.name(), team) != null) {
+        throw new InvalidField(t.path() + ".name", "is there twice");
+      }
+    }
+    List<Objective> objectives = new ArrayList<>();
+    if (cluster.has("objectives")) {
+      for (Fields o : cluster.objects("objectives")) {
+        objectives.add(
+            new Objective(
+                o.text("kind"),
+                o.textOrNull("class"),
+                o.number("share", 0, 1, 0),
+                o.number("times", 0, MOST, 1),
+                o.number("within_s", 0, MOST, 0)));
+      }
     }
+    List<String> zones = cluster.textsOrNull("zones");
+    return new Settings(
+        f.text("node"),
+        f.textOrNull("area"),
+        Address.parse("serve_on", f.text("serve_on")),
+        Address.parse("peer_bind", f.text("peer_bind")),
+        List.copyOf(peers),
+        Address.parse("services.cloud", services.text("cloud")),
+        Address.parse("services.state", services.text("state")),
+        zones == null ? List.of() : zones,
+        teams,
+        List.copyOf(objectives),
+        workers.number("report_s", 0.01, MOST),
+        workers.number("lease_s", 0.1, MOST),
+        workers.number("cancel_s", 0.1, MOST),
+        rps,
+        writeRps,
+        next.number("rps", 1, MOST, rps),
+        next.number("write_rps", 1, MOST, writeRps),
+        Math.min(valueKb, next.number("value_kb", 1, MOST, valueKb)),
+        next.has("txn_ops")
+            ? Math.min(txnOps, (int) next.count("txn_ops", 2, MOST_TXN_OPS))
+            : txnOps,
+        cloud.number("rps", 0.01, MOST),
+        cloud.number("list_lag_s", 0, MOST),
+        limits.number("core_share", 0.001, MOST, 1),
+        limits.number("memory_mb", 1, MOST, 256),
+        (int) limits.number("sockets", 16, MOST, 1024),
+        cluster.number("clock_off_ms", 0, MOST, MOST) / 1000);
+  }
 }
--- a/src/main/java/org/saffronshore/control/Chains.java
+++ b/src/main/java/org/saffronshore/control/Chains.java
@@ -12,68 +12,69 @@
 import org.saffronshore.state.JobStore.Status;
 
 /**
- * Works out the difference between what one term knows of jobs that others need, and what the state service knows: how
- * they ended is asked, and jobs that are cancelled with one that they need get their own ends. Neither is urgent: what
- * is not known to be done keeps others waiting, and users are told of cancellations without it.
+ * Works out the difference between what one term knows of jobs that others need, and what the state
+ * service knows: how they ended is asked, and jobs that are cancelled with one that they need get
+ * their own ends. Neither is urgent: what is not known to be done keeps others waiting, and users
+ * are told of cancellations without it.
  */
 final class Chains {
-    /** So many writes are under way at the same time. */
-    private static final int MOST_WRITES = 8;
+  /** So many writes are under way at the same time. */
+  private static final int MOST_WRITES = 8;
 
-    private final Loop loop;
-    private final JobStore store;
-    private final Leader leader;
-    private final Cluster cluster;
-    private final Records records;
-    private boolean reading;
-    private final Set<String> writing = new HashSet<>();
+  private final Loop loop;
+  private final JobStore store;
+  private final Leader leader;
+  private final Cluster cluster;
+  private final Records records;
+  private boolean reading;
+  private final Set<String> writing = new HashSet<>();
 
-    Chains(Node node, Leader leader, Cluster cluster, Records records) {
-        this.loop = node.loop();
-        this.store = node.store();
-        this.leader = leader;
-        this.cluster = cluster;
-        this.records = records;
-    }
+  Chains(Node node, Leader leader, Cluster cluster, Records records) {
+    this.loop = node.loop();
+    this.store = node.store();
+    this.leader = leader;
+    this.cluster = cluster;
+    this.records = records;
+  }
 
-    void look() {
-        List<String> unknown = cluster.dependencies().unknown();
-        if (!reading && !unknown.isEmpty()) {
-            reading = true;
-            store.readEnds(unknown, this::read);
-        }
-        for (String id : cluster.dependencies().cancelled()) {
-            Job job = cluster.job(id);
-            if (writing.size() >= MOST_WRITES) {
-                break;
-            }
-            if (job != null && writing.add(id)) {
-                records.saveCancelled(job, () -> writing.remove(id));
-            }
-        }
+  void look() {
+    List<String> unknown = cluster.dependencies().unknown();
+    if (!reading && !unknown.isEmpty()) {
+      reading = true;
+      store.readEnds(unknown, this::read);
+    }
+    for (String id : cluster.dependencies().cancelled()) {
+      Job job = cluster.job(id);
+      if (writing.size() >= MOST_WRITES) {
+        break;
+      }
+      if (job != null && writing.add(id)) {
+        records.saveCancelled(job, () -> writing.remove(id));
+      }
     }
+  }
 
-    private void read(Map<String, End> ends) {
-        reading = false;
-        if (leader.ended()) {
-            return;
-        }
-        boolean news = false;
-        for (Map.Entry<String, End> read : ends.entrySet()) {
-            End end = read.getValue();
-            if (end.status() == Status.DONE) {
-                // An end that an earlier version wrote says nothing of its time.
-                cluster.ended(read.getKey(), true, end.atMs() > 0 ? end.atMs() : loop.wallMs());
-                news = true;
-            } else if (end.status() == Status.CANCELLED) {
-                leader.cancelled(read.getKey());
-                news = true;
-            }
-        }
-        // What could not be read is asked again with the next round.
-        if (news) {
-            leader.act();
-            look();
-        }
+  private void read(Map<String, End> ends) {
+    reading = false;
+    if (leader.ended()) {
+      return;
+    }
+    boolean news = false;
+    for (Map.Entry<String, End> read : ends.entrySet()) {
+      End end = read.getValue();
+      if (end.status() == Status.DONE) {
+        // An end that an earlier version wrote says nothing of its time.
+        cluster.ended(read.getKey(), true, end.atMs() > 0 ? end.atMs() : loop.wallMs());
+        news = true;
+      } else if (end.status() == Status.CANCELLED) {
+        leader.cancelled(read.getKey());
+        news = true;
+      }
+    }
+    // What could not be read is asked again with the next round.
+    if (news) {
+      leader.act();
+      look();
     }
+  }
 }
--- a/src/main/java/org/saffronshore/control/Consolidation.java
+++ b/src/main/java/org/saffronshore/control/Consolidation.java
@@ -15,78 +15,82 @@
 
 /** Empties machines whose tasks have room elsewhere, so that they can be returned. */
 final class Consolidation {
-    private static final Logger LOG = LoggerFactory.getLogger(Consolidation.class);
-    /** A start counts for little when the task is stopped again sooner than this. */
-    private static final double LEAST_RUN_S = 30;
-    /** A machine costs this much even when it is returned sooner. */
-    static final double LEAST_CHARGED_S = 60;
-    /** This share of the machines may be emptied at the same time. */
-    private static final double EMPTIED_SHARE = 0.02;
+  private static final Logger LOG = LoggerFactory.getLogger(Consolidation.class);
 
-    private final Loop loop;
-    private final Cluster cluster;
+  /** A start counts for little when the task is stopped again sooner than this. */
+  private static final double LEAST_RUN_S = 30;
 
-    Consolidation(Node node, Cluster cluster) {
-        this.loop = node.loop();
-        this.cluster = cluster;
-    }
+  /** A machine costs this much even when it is returned sooner. */
+  static final double LEAST_CHARGED_S = 60;
 
-    /**
-     * Empties the least used machines whose tasks all save their work, when the others have room for them: what a
-     * machine half empty costs is more than what it takes to save and go on elsewhere. A few machines at a time.
-     */
-    void run() {
-        double now = loop.now();
-        List<Machine> leastFirst = new ArrayList<>();
-        Map<Machine, Room> rooms = new LinkedHashMap<>();
-        int draining = 0;
-        for (Machine m : cluster.machines()) {
-            if (m.draining()) {
-                draining++;
-                continue;
-            }
-            Room room = m.empty() ? null : cluster.freeOn(m);
-            if (room != null) {
-                rooms.put(m, room);
-                if (cluster.movable(m, LEAST_RUN_S) && now > m.rentedAt() + LEAST_CHARGED_S) {
-                    leastFirst.add(m);
-                }
-            }
-        }
-        int most = Math.max(1, (int) (rooms.size() * EMPTIED_SHARE)) - draining;
-        leastFirst.sort(Comparator.comparing(Machine::spot).thenComparingDouble(Machine::usedCpus));
-        for (int i = 0; i < leastFirst.size() && i < 4 * most && most > 0; i++) {
-            Machine m = leastFirst.get(i);
-            if (fitElsewhere(m, rooms)) {
-                LOG.debug("emptying machine {}: {} tasks of it fit elsewhere", m.id(), m.count());
-                rooms.remove(m);
-                cluster.empty(m);
-                most--;
-            }
+  /** This share of the machines may be emptied at the same time. */
+  private static final double EMPTIED_SHARE = 0.02;
+
+  private final Loop loop;
+  private final Cluster cluster;
+
+  Consolidation(Node node, Cluster cluster) {
+    this.loop = node.loop();
+    this.cluster = cluster;
+  }
+
+  /**
+   * Empties the least used machines whose tasks all save their work, when the others have room for
+   * them: what a machine half empty costs is more than what it takes to save and go on elsewhere. A
+   * few machines at a time.
+   */
+  void run() {
+    double now = loop.now();
+    List<Machine> leastFirst = new ArrayList<>();
+    Map<Machine, Room> rooms = new LinkedHashMap<>();
+    int draining = 0;
+    for (Machine m : cluster.machines()) {
+      if (m.draining()) {
+        draining++;
+        continue;
+      }
+      Room room = m.empty() ? null : cluster.freeOn(m);
+      if (room != null) {
+        rooms.put(m, room);
+        if (cluster.movable(m, LEAST_RUN_S) && now > m.rentedAt() + LEAST_CHARGED_S) {
+          leastFirst.add(m);
         }
+      }
+    }
+    int most = Math.max(1, (int) (rooms.size() * EMPTIED_SHARE)) - draining;
+    leastFirst.sort(Comparator.comparing(Machine::spot).thenComparingDouble(Machine::usedCpus));
+    for (int i = 0; i < leastFirst.size() && i < 4 * most && most > 0; i++) {
+      Machine m = leastFirst.get(i);
+      if (fitElsewhere(m, rooms)) {
+        LOG.debug("emptying machine {}: {} tasks of it fit elsewhere", m.id(), m.count());
+        rooms.remove(m);
+        cluster.empty(m);
+        most--;
+      }
     }
+  }
 
-    /** Whether the machine's tasks fit on others; if so, their room is taken. */
-    private static boolean fitElsewhere(Machine m, Map<Machine, Room> rooms) {
-        List<Runnable> undo = new ArrayList<>();
-        for (Attempt a : m.attempts()) {
-            Room found = null;
-            for (var e : rooms.entrySet()) {
-                Machine other = e.getKey();
-                boolean worse = m.spot() && !other.spot();
-                if (other != m && !worse && e.getValue().fits(a.job()) && other.kind().allows(a.job())) {
-                    found = e.getValue();
-                    break;
-                }
-            }
-            if (found == null) {
-                undo.forEach(Runnable::run);
-                return false;
-            }
-            Room room = found;
-            room.take(a.job());
-            undo.add(() -> room.give(a.job()));
+  /** Whether the machine's tasks fit on others; if so, their room is taken. */
+  private static boolean fitElsewhere(Machine m, Map<Machine, Room> rooms) {
+    List<Runnable> undo = new ArrayList<>();
+    for (Attempt a : m.attempts()) {
+      Room found = null;
+      for (var e : rooms.entrySet()) {
+        Machine other = e.getKey();
+        boolean worse = m.spot() && !other.spot();
+        if (other != m && !worse && e.getValue().fits(a.job()) && other.kind().allows(a.job())) {
+          found = e.getValue();
+          break;
         }
-        return true;
+      }
+      if (found == null) {
+        undo.forEach(Runnable::run);
+        return false;
+      }
+      Room room = found;
+      room.take(a.job());
+      undo.add(() -> room.give(a.job()));
     }
+    return true;
+  }
 }
--- a/src/main/java/org/saffronshore/control/FleetKeeper.java
+++ b/src/main/java/org/saffronshore/control/FleetKeeper.java
@@ -31,377 +31,458 @@
 
 /** Keeps the rented machines in line with what the tasks need, for one term. */
 final class FleetKeeper {
-    private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
-    /** Boots later than this, as a multiple of the usual time, are not counted on, and later than that given up. */
-    private static final double LATE_BOOT = 1.6;
-    private static final double LOST_BOOT = 3;
-    /** An idle machine is kept for this share of the time that a new one takes to boot. */
-    private static final double IDLE_KEPT = 0.25;
-
-    /** Room for this many typical jobs of each class is kept although it is idle. */
-    private static final double SPARE_JOBS = 1;
-
-
-    /** Tasks whose wait users mind should wait for this share of the time that a boot takes at the most. */
-    private static final double MINDED_WAIT = 0.5;
-
-    /** A queue stands when tasks in it have waited for so many times the boot, or the wait that users wish. */
-    private static final double STANDING_WAIT = 1.5;
-
-    /** Working out what to rent may take this share of the time. */
-    private static final double RENT_SHARE = 0.1;
-
-
-    private record Order(String name, Kind kind, int count, double askedAt) {}
-
-    private static final class Refusal {
-        double until;
-        double pause;
+  private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
+
+  /**
+   * Boots later than this, as a multiple of the usual time, are not counted on, and later than that
+   * given up.
+   */
+  private static final double LATE_BOOT = 1.6;
+
+  private static final double LOST_BOOT = 3;
+
+  /** An idle machine is kept for this share of the time that a new one takes to boot. */
+  private static final double IDLE_KEPT = 0.25;
+
+  /** Room for this many typical jobs of each class is kept although it is idle. */
+  private static final double SPARE_JOBS = 1;
+
+  /**
+   * Tasks whose wait users mind should wait for this share of the time that a boot takes at the
+   * most.
+   */
+  private static final double MINDED_WAIT = 0.5;
+
+  /**
+   * A queue stands when tasks in it have waited for so many times the boot, or the wait that users
+   * wish.
+   */
+  private static final double STANDING_WAIT = 1.5;
+
+  /** Working out what to rent may take this share of the time. */
+  private static final double RENT_SHARE = 0.1;
+
+  private record Order(String name, Kind kind, int count, double askedAt) {}
+
+  private static final class Refusal {
+    double until;
+    double pause;
+  }
+
+  private final Loop loop;
+  private final Settings settings;
+  private final CloudClient cloud;
+  private final Metrics metrics;
+  private final Leader leader;
+  private final Cluster cluster;
+  private final long term;
+  private final MachineList list;
+  private final Consolidation consolidation;
+  private final Map<String, Order> orders = new LinkedHashMap<>();
+  private final Map<Kind, Refusal> refusals = new HashMap<>();
+  private final Set<String> returning = new HashSet<>();
+  private List<Plan.Unmet> unmet = List.of();
+  private double rentAgainAt = Double.NEGATIVE_INFINITY;
+  private long lastName;
+
+  FleetKeeper(Node node, Leader leader, Cluster cluster, long term) {
+    this.loop = node.loop();
+    this.settings = node.settings();
+    this.cloud = node.cloud();
+    this.metrics = node.metrics();
+    this.leader = leader;
+    this.cluster = cluster;
+    this.term = term;
+    this.list = new MachineList(node, leader, cluster);
+    this.consolidation = new Consolidation(node, cluster);
+  }
+
+  void start() {
+    list.read();
+    leader.repeat(Math.max(settings.reportS(), 2 / settings.cloudRps()), list::read);
+    leader.repeat(settings.reportS() / 3, this::keep);
+  }
+
+  /** What the last cycle found no place for. */
+  void wanted(List<Plan.Unmet> nowUnmet) {
+    unmet = nowUnmet;
+    rent();
+  }
+
+  private void keep() {
+    if (!leader.loaded()) {
+      return;
     }
-
-    private final Loop loop;
-    private final Settings settings;
-    private final CloudClient cloud;
-    private final Metrics metrics;
-    private final Leader leader;
-    private final Cluster cluster;
-    private final long term;
-    private final MachineList list;
-    private final Consolidation consolidation;
-    private final Map<String, Order> orders = new LinkedHashMap<>();
-    private final Map<Kind, Refusal> refusals = new HashMap<>();
-    private final Set<String> returning = new HashSet<>();
-    private List<Plan.Unmet> unmet = List.of();
-    private double rentAgainAt = Double.NEGATIVE_INFINITY;
-    private long lastName;
-
-    FleetKeeper(Node node, Leader leader, Cluster cluster, long term) {
-        this.loop = node.loop();
-        this.settings = node.settings();
-        this.cloud = node.cloud();
-        this.metrics = node.metrics();
-        this.leader = leader;
-        this.cluster = cluster;
-        this.term = term;
-        this.list = new MachineList(node, leader, cluster);
-        this.consolidation = new Consolidation(node, cluster);
+    giveBack();
+    rent();
+    if (unmet.isEmpty()) {
+      consolidation.run();
     }
-
-    void start() {
-        list.read();
-        leader.repeat(Math.max(settings.reportS(), 2 / settings.cloudRps()), list::read);
-        leader.repeat(settings.reportS() / 3, this::keep);
+  }
+
+  // Renting
+
+  /**
+   * An earlier leader's latest machines are in no list yet: renting for the same need again would
+   * be waste.
+   */
+  private boolean mayRent() {
+    return leader.acting()
+        && leader.loaded()
+        && list.complete()
+        && (term == 1 || loop.now() > cluster.startedAt() + settings.listLagS());
+  }
+
+  private void rent() {
+    double now = loop.now();
+    if (!mayRent() || unmet.isEmpty() || now < rentAgainAt || orders.size() >= mostOrders()) {
+      return;
     }
-
-    /** What the last cycle found no place for. */
-    void wanted(List<Plan.Unmet> nowUnmet) {
-        unmet = nowUnmet;
-        rent();
+    Map<String, Integer> perZone = new HashMap<>();
+    for (Machine m : cluster.machines()) {
+      if (m.zone() != null && !m.failed() && !m.returning()) {
+        perZone.merge(m.zone(), 1, Integer::sum);
+      }
     }
-
-    private void keep() {
-        if (!leader.loaded()) {
-            return;
-        }
-        giveBack();
-        rent();
-        if (unmet.isEmpty()) {
-            consolidation.run();
-        }
+    orders.values().forEach(o -> perZone.merge(o.kind.zone(), o.count, Integer::sum));
+    List<Plan.Unmet> late =
+        Forecast.late(lines(true), unmet, cluster::lastsS, job -> now + boot(job));
+    FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
+        .forEach(this::order);
+    foresee(perZone, now);
+    makeWay(late, perZone, now);
+    double took = loop.now() - now;
+    rentAgainAt = loop.now() + Math.max(settings.reportS() / 12, took / RENT_SHARE);
+  }
+
+  /** Machines that are up, coming or asked for. */
+  private List<Forecast.Line> lines(boolean released) {
+    List<Forecast.Line> lines = cluster.lines(LATE_BOOT, released);
+    for (Order o : orders.values()) {
+      MachineType type = cluster.types().get(o.kind.type());
+      for (int i = 0; i < o.count && type != null; i++) {
+        lines.add(new Forecast.Line(o.kind, Room.of(type), o.askedAt + type.bootS()));
+      }
     }
-
-    // Renting
-
-    /** An earlier leader's latest machines are in no list yet: renting for the same need again would be waste. */
-    private boolean mayRent() {
-        return leader.acting() && leader.loaded() && list.complete()
-                && (term == 1 || loop.now() > cluster.startedAt() + settings.listLagS());
+    return lines;
+  }
+
+  /**
+   * Rents for tasks that stand in the way of others, where that is no dearer than what they stand
+   * on.
+   */
+  private void makeWay(List<Plan.Unmet> late, Map<String, Integer> perZone, double now) {
+    Set<String> scarce = new HashSet<>();
+    double dearest = 0;
+    for (MachineType type : cluster.types().values()) {
+      if (type.zones().stream()
+          .allMatch(
+              zone ->
+                  refusals.containsKey(new Kind(type.name(), zone, true))
+                      && refusals.containsKey(new Kind(type.name(), zone, false)))) {
+        scarce.add(type.name());
+        dearest = Math.max(dearest, type.price() / type.cpus());
+      }
     }
-
-    private void rent() {
-        double now = loop.now();
-        if (!mayRent() || unmet.isEmpty() || now < rentAgainAt || orders.size() >= mostOrders()) {
-            return;
-        }
-        Map<String, Integer> perZone = new HashMap<>();
-        for (Machine m : cluster.machines()) {
-            if (m.zone() != null && !m.failed() && !m.returning()) {
-                perZone.merge(m.zone(), 1, Integer::sum);
-            }
-        }
-        orders.values().forEach(o -> perZone.merge(o.kind.zone(), o.count, Integer::sum));
-        List<Plan.Unmet> late = Forecast.late(lines(true), unmet, cluster::lastsS, job -> now + boot(job));
-        FleetPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now)).forEach(this::order);
-        foresee(perZone, now);
-        makeWay(late, perZone, now);
-        double took = loop.now() - now;
-        rentAgainAt = loop.now() + Math.max(settings.reportS() / 12, took / RENT_SHARE);
-    }
-
-    /** Machines that are up, coming or asked for. */
-    private List<Forecast.Line> lines(boolean released) {
-        List<Forecast.Line> lines = cluster.lines(LATE_BOOT, released);
-        for (Order o : orders.values()) {
-            MachineType type = cluster.types().get(o.kind.type());
-            for (int i = 0; i < o.count && type != null; i++) {
-                lines.add(new Forecast.Line(o.kind, Room.of(type), o.askedAt + type.bootS()));
-            }
-        }
-        return lines;
+    if (scarce.isEmpty() || late.isEmpty() || scarce.size() == cluster.types().size()) {
+      return;
     }
-
-    /** Rents for tasks that stand in the way of others, where that is no dearer than what they stand on. */
-    private void makeWay(List<Plan.Unmet> late, Map<String, Integer> perZone, double now) {
-        Set<String> scarce = new HashSet<>();
-        double dearest = 0;
-        for (MachineType type : cluster.types().values()) {
-            if (type.zones().stream().allMatch(zone -> refusals.containsKey(new Kind(type.name(), zone, true))
-                    && refusals.containsKey(new Kind(type.name(), zone, false)))) {
-                scarce.add(type.name());
-                dearest = Math.max(dearest, type.price() / type.cpus());
-            }
-        }
-        if (scarce.isEmpty() || late.isEmpty() || scarce.size() == cluster.types().size()) {
-            return;
-        }
-        double limit = dearest;
-        List<Plan.Unmet> displaced = Displaced.find(cluster.types(), scarce, late, cluster.runningOn(scarce));
-        if (displaced.isEmpty()) {
-            return;
-        }
-        // What is free on the others now, not what will be: their own like goes on coming, and takes that.
-        List<Forecast.Line> others = lines(false).stream().filter(l -> !scarce.contains(l.kind().type())).toList();
-        List<Plan.Unmet> homeless = Forecast.late(others, displaced, cluster::lastsS, job -> now + boot(job));
-        FleetPlan.orders(cluster.types(), homeless, perZone, kind -> {
-            MachineType type = cluster.types().get(kind.type());
-            double price = kind.spot() ? type.spotPrice() : type.price();
-            return !scarce.contains(kind.type()) && available(kind, now) && price / type.cpus() <= limit;
-        }).forEach(this::order);
+    double limit = dearest;
+    List<Plan.Unmet> displaced =
+        Displaced.find(cluster.types(), scarce, late, cluster.runningOn(scarce));
+    if (displaced.isEmpty()) {
+      return;
     }
-
-    /** What the cloud takes in about two seconds: more would only wait here, and be out of date by then. */
-    private int mostOrders() {
-        return (int) Math.max(2, 2 * settings.cloudRps());
+    // What is free on the others now, not what will be: their own like goes on coming, and takes
+    // that.
+    List<Forecast.Line> others =
+        lines(false).stream().filter(l -> !scarce.contains(l.kind().type())).toList();
+    List<Plan.Unmet> homeless =
+        Forecast.late(others, displaced, cluster::lastsS, job -> now + boot(job));
+    FleetPlan.orders(
+            cluster.types(),
+            homeless,
+            perZone,
+            kind -> {
+              MachineType type = cluster.types().get(kind.type());
+              double price = kind.spot() ? type.spotPrice() : type.price();
+              return !scarce.contains(kind.type())
+                  && available(kind, now)
+                  && price / type.cpus() <= limit;
+            })
+        .forEach(this::order);
+  }
+
+  /**
+   * What the cloud takes in about two seconds: more would only wait here, and be out of date by
+   * then.
+   */
+  private int mostOrders() {
+    return (int) Math.max(2, 2 * settings.cloudRps());
+  }
+
+  /**
+   * A queue that just clears in the time of a boot stands for as long as its like keeps coming: so
+   * what is to come in that time counts as well, behind what is there, and where users mind the
+   * wait it is to be short. Cheap machines only: ordinary ones for what may not come cost more than
+   * the waits are worth.
+   */
+  private void foresee(Map<String, Integer> perZone, double now) {
+    List<Plan.Unmet> queue = new ArrayList<>(unmet);
+    queue.addAll(cluster.arrivals().within(boot(), now));
+    List<Plan.Unmet> late =
+        Forecast.late(
+            lines(true),
+            queue,
+            cluster::lastsS,
+            job -> now + boot(job) * (waitMinded(job) ? MINDED_WAIT : 1));
+    FleetPlan.orders(cluster.types(), late, perZone, kind -> kind.spot() && available(kind, now))
+        .forEach(this::order);
+    if (overloaded()) {
+      List<Plan.Unmet> beyond =
+          Forecast.late(lines(true), queue, cluster::lastsS, job -> now + boot(job));
+      FleetPlan.orders(cluster.types(), beyond, perZone, kind -> available(kind, now))
+          .forEach(this::order);
     }
-
-    /**
-     * A queue that just clears in the time of a boot stands for as long as its like keeps coming: so what is to come
-     * in that time counts as well, behind what is there, and where users mind the wait it is to be short. Cheap
-     * machines only: ordinary ones for what may not come cost more than the waits are worth.
-     */
-    private void foresee(Map<String, Integer> perZone, double now) {
-        List<Plan.Unmet> queue = new ArrayList<>(unmet);
-        queue.addAll(cluster.arrivals().within(boot(), now));
-        List<Plan.Unmet> late = Forecast.late(lines(true), queue, cluster::lastsS,
-                job -> now + boot(job) * (waitMinded(job) ? MINDED_WAIT : 1));
-        FleetPlan.orders(cluster.types(), late, perZone, kind -> kind.spot() && available(kind, now))
-                .forEach(this::order);
-        if (overloaded()) {
-            List<Plan.Unmet> beyond = Forecast.late(lines(true), queue, cluster::lastsS, job -> now + boot(job));
-            FleetPlan.orders(cluster.types(), beyond, perZone, kind -> available(kind, now)).forEach(this::order);
-        }
+  }
+
+  /**
+   * Whether tasks have waited for much longer than users wish, and than a boot takes: then what
+   * waits does not clear, however soon it is foretold to, and the cheap machines are not enough.
+   */
+  private boolean overloaded() {
+    return unmet.stream()
+        .anyMatch(
+            u -> {
+              Job job = cluster.job(u.job().id());
+              return job != null
+                  && job.waitedS(loop.wallMs())
+                      > STANDING_WAIT * Math.max(boot(u.job()), wishedWaitS(u.job()));
+            });
+  }
+
+  /** Whether users have an aim for how long tasks of this class wait. */
+  private boolean waitMinded(JobSpec job) {
+    return wishedWaitS(job) < Double.POSITIVE_INFINITY;
+  }
+
+  /** The shortest wait that users have an aim for, for tasks of this class. */
+  private double wishedWaitS(JobSpec job) {
+    return settings.objectives().stream()
+        .filter(o -> o.kind().equals("wait") && job.jobClass().equals(o.jobClass()))
+        .mapToDouble(Settings.Objective::withinS)
+        .min()
+        .orElse(Double.POSITIVE_INFINITY);
+  }
+
+  private double boot() {
+    return cluster.types().values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
+  }
+
+  /** How long the quickest machine for a job takes to be up. */
+  private double boot(JobSpec job) {
+    return cluster.types().values().stream()
+        .filter(t -> t.fits(job))
+        .mapToDouble(MachineType::bootS)
+        .min()
+        .orElse(0);
+  }
+
+  private boolean available(Kind kind, double now) {
+    Refusal r = refusals.get(kind);
+    return r == null || now >= r.until;
+  }
+
+  private void order(Kind kind, int count) {
+    for (int left = count;
+        left > 0 && orders.size() < mostOrders() && leader.acting();
+        left -= CloudClient.MOST_RENTED) {
+      Order order =
+          new Order(
+              "r-" + term + "-" + ++lastName,
+              kind,
+              Math.min(left, CloudClient.MOST_RENTED),
+              loop.now());
+      orders.put(order.name, order);
+      ask(order);
     }
-
-    /**
-     * Whether tasks have waited for much longer than users wish, and than a boot takes: then what waits does not
-     * clear, however soon it is foretold to, and the cheap machines are not enough.
-     */
-    private boolean overloaded() {
-        return unmet.stream().anyMatch(u -> {
-            Job job = cluster.job(u.job().id());
-            return job != null && job.waitedS(loop.wallMs())
-                    > STANDING_WAIT * Math.max(boot(u.job()), wishedWaitS(u.job()));
+  }
+
+  private void ask(Order order) {
+    cloud.rent(
+        order.name,
+        order.kind,
+        order.count,
+        answer -> {
+          JsonNode body = answer.json();
+          if (answer.ok() && body != null) {
+            orders.remove(order.name);
+            rented(order, body.path("Cadres"));
+          } else if (answer.status() == 503
+              && body != null
+              && "no capacity".equals(Json.text(body, "error"))) {
+            orders.remove(order.name);
+            LOG.info("the cloud has no {}", order.kind);
+            refused(order.kind);
+          } else if (answer.status() == 400) {
+            orders.remove(order.name);
+            LOG.error("the cloud calls the order of {} {} malformed", order.count, order.kind);
+            refused(order.kind);
+          } else if (leader.acting()) {
+            // It may have been carried out: only the same name again tells, and rents nothing
+            // twice.
+            loop.after(settings.reportS() / 3, () -> ask(order));
+          } else {
+            orders.remove(order.name);
+          }
         });
+  }
+
+  private void rented(Order order, JsonNode names) {
+    LOG.debug("rented {} of {} {}: tasks wait for room", names.size(), order.count, order.kind);
+    metrics.add(Metrics.Count.RENTED, names.size());
+    for (JsonNode name : names) {
+      cluster.rented(
+          name.asText(), order.kind.type(), order.kind.zone(), order.kind.spot(), order.askedAt);
     }
-
-    /** Whether users have an aim for how long tasks of this class wait. */
-    private boolean waitMinded(JobSpec job) {
-        return wishedWaitS(job) < Double.POSITIVE_INFINITY;
+    if (names.size() < order.count) {
+      refused(order.kind);
+    } else {
+      refusals.remove(order.kind);
     }
-
-    /** The shortest wait that users have an aim for, for tasks of this class. */
-    private double wishedWaitS(JobSpec job) {
-        return settings.objectives().stream().filter(o -> o.kind().equals("wait") && job.jobClass().equals(o.jobClass()))
-                .mapToDouble(Settings.Objective::withinS).min().orElse(Double.POSITIVE_INFINITY);
+  }
+
+  private void refused(Kind kind) {
+    MachineType type = cluster.types().get(kind.type());
+    double boot = type == null ? settings.leaseS() : type.bootS();
+    Refusal r = refusals.computeIfAbsent(kind, k -> new Refusal());
+    r.pause = Math.min(boot, Math.max(boot / 8, r.pause * 2));
+    r.until = loop.now() + r.pause;
+  }
+
+  // Returning
+
+  private String reason(Machine m, double now, Spare spare) {
+    MachineType type = m.type() == null ? null : cluster.types().get(m.type());
+    double boot = type == null ? settings.leaseS() : type.bootS();
+    if (m.failed()) {
+      return "it has failed";
     }
-
-    private double boot() {
-        return cluster.types().values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
+    if (!m.everUp()) {
+      return now > m.rentedAt() + LOST_BOOT * boot && m.empty() && !cluster.isUnsettled(m)
+          ? "it never came up"
+          : null;
     }
-
-    /** How long the quickest machine for a job takes to be up. */
-    private double boot(JobSpec job) {
-        return cluster.types().values().stream().filter(t -> t.fits(job)).mapToDouble(MachineType::bootS).min()
-                .orElse(0);
+    if (!m.up()) {
+      return "it is lost";
     }
-
-    private boolean available(Kind kind, double now) {
-        Refusal r = refusals.get(kind);
-        return r == null || now >= r.until;
+    if (cluster.hearing().useless(m)) {
+      return "it does not hear us";
     }
-
-    private void order(Kind kind, int count) {
-        for (int left = count; left > 0 && orders.size() < mostOrders() && leader.acting(); left -= CloudClient.MOST_RENTED) {
-            Order order = new Order("r-" + term + "-" + ++lastName, kind, Math.min(left, CloudClient.MOST_RENTED),
-                    loop.now());
-            orders.put(order.name, order);
-            ask(order);
-        }
+    if (!m.empty() || !m.settled()) {
+      return null;
     }
-
-    private void ask(Order order) {
-        cloud.rent(order.name, order.kind, order.count, answer -> {
-            JsonNode body = answer.json();
-            if (answer.ok() && body != null) {
-                orders.remove(order.name);
-                rented(order, body.path("Cadres"));
-            } else if (answer.status() == 503 && body != null && "no capacity".equals(Json.text(body, "error"))) {
-                orders.remove(order.name);
-                LOG.info("the cloud has no {}", order.kind);
-                refused(order.kind);
-            } else if (answer.status() == 400) {
-                orders.remove(order.name);
-                LOG.error("the cloud calls the order of {} {} malformed", order.count, order.kind);
-                refused(order.kind);
-            } else if (leader.acting()) {
-                // It may have been carried out: only the same name again tells, and rents nothing twice.
-                loop.after(settings.reportS() / 3, () -> ask(order));
-            } else {
-                orders.remove(order.name);
-            }
-        });
+    if (m.draining()) {
+      return "its tasks went elsewhere";
     }
-
-    private void rented(Order order, JsonNode names) {
-        LOG.debug("rented {} of {} {}: tasks wait for room", names.size(), order.count, order.kind);
-        metrics.add(Metrics.Count.RENTED, names.size());
-        for (JsonNode name : names) {
-            cluster.rented(name.asText(), order.kind.type(), order.kind.zone(), order.kind.spot(), order.askedAt);
-        }
-        if (names.size() < order.count) {
-            refused(order.kind);
-        } else {
-            refusals.remove(order.kind);
-        }
+    if (m.distrusted()) {
+      return "it fails its tasks";
     }
-
-    private void refused(Kind kind) {
-        MachineType type = cluster.types().get(kind.type());
-        double boot = type == null ? settings.leaseS() : type.bootS();
-        Refusal r = refusals.computeIfAbsent(kind, k -> new Refusal());
-        r.pause = Math.min(boot, Math.max(boot / 8, r.pause * 2));
-        r.until = loop.now() + r.pause;
+    if (m.noticed()) {
+      return "it is to be taken back, and is empty";
     }
-
-    // Returning
-
-    private String reason(Machine m, double now, Spare spare) {
-        MachineType type = m.type() == null ? null : cluster.types().get(m.type());
-        double boot = type == null ? settings.leaseS() : type.bootS();
-        if (m.failed()) {
-            return "it has failed";
-        }
-        if (!m.everUp()) {
-            return now > m.rentedAt() + LOST_BOOT * boot && m.empty() && !cluster.isUnsettled(m)
-                    ? "it never came up" : null;
-        }
-        if (!m.up()) {
-            return "it is lost";
-        }
-        if (cluster.hearing().useless(m)) {
-            return "it does not hear us";
-        }
-        if (!m.empty() || !m.settled()) {
-            return null;
+    boolean idle =
+        now > m.idleSince() + IDLE_KEPT * boot
+            && now > m.rentedAt() + Consolidation.LEAST_CHARGED_S;
+    return idle && !spare.needs(m) ? "it is idle" : null;
+  }
+
+  /**
+   * Room that is kept although it is idle: a typical job of each class that still comes should find
+   * some.
+   */
+  private final class Spare {
+    private final Map<Machine, Room> rooms = new HashMap<>();
+    private final Map<Arrivals.Expected, Double> fitting = new LinkedHashMap<>();
+
+    Spare(double now) {
+      double boot =
+          cluster.types().values().stream()
+              .mapToDouble(MachineType::bootS)
+              .max()
+              .orElse(settings.leaseS());
+      cluster.arrivals().expected(now, boot / 2).forEach(e -> fitting.put(e, 0.0));
+      for (Machine m : cluster.machines()) {
+        Room room = returning.contains(m.id()) ? null : cluster.freeOn(m);
+        if (room != null) {
+          rooms.put(m, room);
+          fitting.replaceAll((e, sum) -> sum + on(m, e));
         }
-        if (m.draining()) {
-            return "its tasks went elsewhere";
-        }
-        if (m.distrusted()) {
-            return "it fails its tasks";
-        }
-        if (m.noticed()) {
-            return "it is to be taken back, and is empty";
-        }
-        boolean idle = now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + Consolidation.LEAST_CHARGED_S;
-        return idle && !spare.needs(m) ? "it is idle" : null;
+      }
     }
 
-    /** Room that is kept although it is idle: a typical job of each class that still comes should find some. */
-    private final class Spare {
-        private final Map<Machine, Room> rooms = new HashMap<>();
-        private final Map<Arrivals.Expected, Double> fitting = new LinkedHashMap<>();
-
-        Spare(double now) {
-            double boot = cluster.types().values().stream().mapToDouble(MachineType::bootS).max()
-                    .orElse(settings.leaseS());
-            cluster.arrivals().expected(now, boot / 2).forEach(e -> fitting.put(e, 0.0));
-            for (Machine m : cluster.machines()) {
-                Room room = returning.contains(m.id()) ? null : cluster.freeOn(m);
-                if (room != null) {
-                    rooms.put(m, room);
-                    fitting.replaceAll((e, sum) -> sum + on(m, e));
-                }
-            }
-        }
-
-        private double on(Machine m, Arrivals.Expected e) {
-            Room room = rooms.get(m);
-            return room == null || !m.kind().allows(e.task()) ? 0 : Arrivals.fitting(room, e.task());
-        }
-
-        /** Whether a typical job of some class would find no room without this machine. */
-        boolean needs(Machine m) {
-            return fitting.entrySet().stream().anyMatch(f -> on(m, f.getKey()) > 0
-                    && f.getValue() - on(m, f.getKey()) < f.getKey().tasks() * SPARE_JOBS);
-        }
-
-        void without(Machine m) {
-            fitting.replaceAll((e, sum) -> sum - on(m, e));
-            rooms.remove(m);
-        }
+    private double on(Machine m, Arrivals.Expected e) {
+      Room room = rooms.get(m);
+      return room == null || !m.kind().allows(e.task()) ? 0 : Arrivals.fitting(room, e.task());
     }
 
-    private void giveBack() {
-        double now = loop.now();
-        List<String> names = new ArrayList<>();
-        List<Machine> dearFirst = new ArrayList<>(cluster.machines());
-        dearFirst.sort(Comparator.comparing(Machine::spot));
-        Spare spare = new Spare(now);
-        for (Machine m : dearFirst) {
-            String why = returning.contains(m.id()) ? null : reason(m, now, spare);
-            if (why != null && names.size() < CloudClient.MOST_RETURNED) {
-                LOG.debug("returning machine {}: {}", m.id(), why);
-                cluster.returning(m);
-                returning.add(m.id());
-                names.add(m.id());
-                spare.without(m);
-            }
-        }
-        if (!names.isEmpty()) {
-            returned(names);
-        }
+    /** Whether a typical job of some class would find no room without this machine. */
+    boolean needs(Machine m) {
+      return fitting.entrySet().stream()
+          .anyMatch(
+              f ->
+                  on(m, f.getKey()) > 0
+                      && f.getValue() - on(m, f.getKey()) < f.getKey().tasks() * SPARE_JOBS);
     }
 
-    private void returned(List<String> names) {
-        cloud.giveBack(names, answer -> {
-            if (answer.ok()) {
-                returning.removeAll(names);
-                metrics.add(Metrics.Count.RETURNED, names.size());
-                for (String name : names) {
-                    Machine m = cluster.machine(name);
-                    if (m != null) {
-                        // What was given back can be had again.
-                        refusals.remove(m.kind());
-                        cluster.gone(m, "returned");
-                    }
-                }
-            } else if (leader.acting()) {
-                // A successor may have given them work since: it decides whether they are to go.
-                loop.after(settings.reportS() / 3, () -> returned(names));
-            } else {
-                returning.removeAll(names);
+    void without(Machine m) {
+      fitting.replaceAll((e, sum) -> sum - on(m, e));
+      rooms.remove(m);
+    }
+  }
+
+  private void giveBack() {
+    double now = loop.now();
+    List<String> names = new ArrayList<>();
+    List<Machine> dearFirst = new ArrayList<>(cluster.machines());
+    dearFirst.sort(Comparator.comparing(Machine::spot));
+    Spare spare = new Spare(now);
+    for (Machine m : dearFirst) {
+      String why = returning.contains(m.id()) ? null : reason(m, now, spare);
+      if (why != null && names.size() < CloudClient.MOST_RETURNED) {
+        LOG.debug("returning machine {}: {}", m.id(), why);
+        cluster.returning(m);
+        returning.add(m.id());
+        names.add(m.id());
+        spare.without(m);
+      }
+    }
+    if (!names.isEmpty()) {
+      returned(names);
+    }
+  }
+
+  private void returned(List<String> names) {
+    cloud.giveBack(
+        names,
+        answer -> {
+          if (answer.ok()) {
+            returning.removeAll(names);
+            metrics.add(Metrics.Count.RETURNED, names.size());
+            for (String name : names) {
+              Machine m = cluster.machine(name);
+              if (m != null) {
+                // What was given back can be had again.
+                refusals.remove(m.kind());
+                cluster.gone(m, "returned");
+              }
             }
+          } else if (leader.acting()) {
+            // A successor may have given them work since: it decides whether they are to go.
+            loop.after(settings.reportS() / 3, () -> returned(names));
+          } else {
+            returning.removeAll(names);
+          }
         });
-    }
+  }
 }
--- a/src/main/java/org/saffronshore/control/JobFeed.java
+++ b/src/main/java/org/saffronshore/control/JobFeed.java
@@ -20,103 +20,119 @@
 
 /** Keeps one term's cluster in line with the open jobs of the state service. */
 final class JobFeed {
-    private static final Logger LOG = LoggerFactory.getLogger(JobFeed.class);
+  private static final Logger LOG = LoggerFactory.getLogger(JobFeed.class);
 
-    private final Loop loop;
-    private final Settings settings;
-    private final StateClient state;
-    private final Leader leader;
-    private final Cluster cluster;
+  private final Loop loop;
+  private final Settings settings;
+  private final StateClient state;
+  private final Leader leader;
+  private final Cluster cluster;
 
-    JobFeed(Node node, Leader leader, Cluster cluster) {
-        this.loop = node.loop();
-        this.settings = node.settings();
-        this.state = node.state();
-        this.leader = leader;
-        this.cluster = cluster;
-    }
+  JobFeed(Node node, Leader leader, Cluster cluster) {
+    this.loop = node.loop();
+    this.settings = node.settings();
+    this.state = node.state();
+    this.leader = leader;
+    this.cluster = cluster;
+  }
 
-    /** Takes the jobs that were open when the term began, and follows what becomes of them. */
-    void begin(StateClient.Listing jobs, Map<String, BitSet> done, Map<String, Integer> reach) {
-        for (StateClient.Entry e : jobs.entries()) {
-            String id = Keys.idOf(e.key());
-            add(e.key(), e.value(), e.version(), done.getOrDefault(id, new BitSet()), reach.getOrDefault(id, 0));
-        }
+  /** Takes the jobs that were open when the term began, and follows what becomes of them. */
+  void begin(StateClient.Listing jobs, Map<String, BitSet> done, Map<String, Integer> reach) {
+    for (StateClient.Entry e : jobs.entries()) {
+      String id = Keys.idOf(e.key());
+      add(
+          e.key(),
+          e.value(),
+          e.version(),
+          done.getOrDefault(id, new BitSet()),
+          reach.getOrDefault(id, 0));
     }
+  }
 
-    /** A job that was accepted after the term began: nobody else can have launched any of it. */
-    private void addNew(String key, JsonNode record, long version) {
-        add(key, record, version, new BitSet(), 0);
-    }
+  /** A job that was accepted after the term began: nobody else can have launched any of it. */
+  private void addNew(String key, JsonNode record, long version) {
+    add(key, record, version, new BitSet(), 0);
+  }
 
-    private void add(String key, JsonNode record, long version, BitSet done, int reach) {
-        try {
-            cluster.addJob(JobSpec.parse(record.get("Spec")), version, Json.count(record, "At", 0), done, reach);
-        } catch (InvalidField e) {
-            LOG.error("the record {} cannot be read: {}", key, e.getMessage());
-        }
+  private void add(String key, JsonNode record, long version, BitSet done, int reach) {
+    try {
+      cluster.addJob(
+          JobSpec.parse(record.get("Spec")), version, Json.count(record, "At", 0), done, reach);
+    } catch (InvalidField e) {
+      LOG.error("the record {} cannot be read: {}", key, e.getMessage());
     }
+  }
 
-    /** Cancellations are decided by other nodes and become known here: so this must never lag for long. */
-    void watch(long from) {
-        if (leader.ended()) {
+  /**
+   * Cancellations are decided by other nodes and become known here: so this must never lag for
+   * long.
+   */
+  void watch(long from) {
+    if (leader.ended()) {
+      return;
+    }
+    double askedAt = loop.now();
+    state.watch(
+        Keys.JOBS,
+        from,
+        settings.cancelS() / 20,
+        answer -> {
+          if (leader.ended()) {
             return;
-        }
-        double askedAt = loop.now();
-        state.watch(Keys.JOBS, from, settings.cancelS() / 20, answer -> {
-            if (leader.ended()) {
-                return;
-            }
-            JsonNode body = answer.ok() ? answer.json() : null;
-            if (body != null && body.path("Events").isArray()) {
-                changes(body.get("Events"));
-                leader.cancellationsRead(askedAt);
-                watch(Json.count(body, "Ledger", from));
-            } else if (answer.status() == 410) {
-                relist();
-            } else {
-                loop.after(settings.reportS() / 10, () -> watch(from));
-            }
+          }
+          JsonNode body = answer.ok() ? answer.json() : null;
+          if (body != null && body.path("Events").isArray()) {
+            changes(body.get("Events"));
+            leader.cancellationsRead(askedAt);
+            watch(Json.count(body, "Ledger", from));
+          } else if (answer.status() == 410) {
+            relist();
+          } else {
+            loop.after(settings.reportS() / 10, () -> watch(from));
+          }
         });
-    }
+  }
 
-    private void changes(JsonNode events) {
-        for (JsonNode e : events) {
-            String set = Json.text(e, "Set");
-            if (set != null) {
-                addNew(set, e.path("Data"), Json.count(e, "Stamp", 0));
-            } else if (Json.text(e, "Remove") != null) {
-                leader.remove(Keys.idOf(Json.text(e, "Remove")));
-            }
-        }
-        if (!events.isEmpty()) {
-            leader.act();
-        }
+  private void changes(JsonNode events) {
+    for (JsonNode e : events) {
+      String set = Json.text(e, "Set");
+      if (set != null) {
+        addNew(set, e.path("Data"), Json.count(e, "Stamp", 0));
+      } else if (Json.text(e, "Remove") != null) {
+        leader.remove(Keys.idOf(Json.text(e, "Remove")));
+      }
     }
+    if (!events.isEmpty()) {
+      leader.act();
+    }
+  }
 
-    private void relist() {
-        double askedAt = loop.now();
-        state.list(Keys.JOBS, true, jobs -> {
-            if (leader.ended()) {
-                return;
-            }
-            if (jobs == null) {
-                loop.after(settings.reportS() / 10, this::relist);
-                return;
-            }
-            Set<String> open = new HashSet<>();
-            for (StateClient.Entry e : jobs.entries()) {
-                open.add(Keys.idOf(e.key()));
-                addNew(e.key(), e.value(), e.version());
-            }
-            for (Job job : new ArrayList<>(cluster.jobs())) {
-                if (!open.contains(job.spec().id())) {
-                    leader.remove(job.spec().id());
-                }
+  private void relist() {
+    double askedAt = loop.now();
+    state.list(
+        Keys.JOBS,
+        true,
+        jobs -> {
+          if (leader.ended()) {
+            return;
+          }
+          if (jobs == null) {
+            loop.after(settings.reportS() / 10, this::relist);
+            return;
+          }
+          Set<String> open = new HashSet<>();
+          for (StateClient.Entry e : jobs.entries()) {
+            open.add(Keys.idOf(e.key()));
+            addNew(e.key(), e.value(), e.version());
+          }
+          for (Job job : new ArrayList<>(cluster.jobs())) {
+            if (!open.contains(job.spec().id())) {
+              leader.remove(job.spec().id());
             }
-            leader.cancellationsRead(askedAt);
-            watch(jobs.revision());
-            leader.act();
+          }
+          leader.cancellationsRead(askedAt);
+          watch(jobs.revision());
+          leader.act();
         });
-    }
+  }
 }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -27,404 +27,452 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One term of leading. Reads what the state service knows, rebuilds the rest from reports, and then runs the loops
- * that bring what is closer to what is wanted: tasks to machines, finished tasks to the state service. It does
- * nothing while the leadership does not hold.
+ * One term of leading. Reads what the state service knows, rebuilds the rest from reports, and then
+ * runs the loops that bring what is closer to what is wanted: tasks to machines, finished tasks to
+ * the state service. It does nothing while the leadership does not hold.
  */
 final class Leader {
-    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
-
-    /** Cycles that follow a change may take this share of the time: the rest is for reports. */
-    private static final double CYCLE_SHARE = 0.15;
-
-    private final Loop loop;
-    private final Settings settings;
-    private final StateClient state;
-    private final Client client;
-    private final Leadership leadership;
-    private final Metrics metrics;
-    private final RandomGenerator random;
-    private final PeerLink peers;
-    private final FleetKeeper fleet;
-    private final Cluster cluster;
-    private final JobFeed feed;
-    private final Records records;
-    private final Chains chains;
-    private final long term;
-    private final byte[] nothingToDo;
-    private boolean ended;
-    private boolean loaded;
-    /** Calls under way: a burst of launches must not use up the connections. */
-    private int callsOut;
-    private final int mostCalls;
-    private boolean cyclePlanned;
-    private final KnownCancellations cancellations;
-    private final double startedAt;
-    private double unpermittedAt = Double.NEGATIVE_INFINITY;
-    private double awakeAt;
-    private double refusedSince = Double.POSITIVE_INFINITY;
-    private double lastCycleS;
-    private OperatorSettings operator = OperatorSettings.START;
-
-    Leader(Node node, long term, long keyVersion) {
-        this.loop = node.loop();
-        this.settings = node.settings();
-        this.state = node.state();
-        this.client = node.client();
-        this.leadership = node.leadership();
-        this.metrics = node.metrics();
-        this.random = node.random();
-        this.peers = node.peers();
-        this.term = term;
-        this.startedAt = loop.now();
-        this.cancellations = new KnownCancellations(settings);
-        this.mostCalls = Math.max(4, settings.sockets() / 8);
-        this.nothingToDo = Json.bytes(answer(List.of()));
-        this.cluster = new Cluster(loop, settings, term, keyVersion);
-        this.feed = new JobFeed(node, this, cluster);
-        this.records = new Records(node, this, cluster);
-        this.chains = new Chains(node, this, cluster, records);
-        this.fleet = new FleetKeeper(node, this, cluster, term);
+  private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+
+  /** Cycles that follow a change may take this share of the time: the rest is for reports. */
+  private static final double CYCLE_SHARE = 0.15;
+
+  private final Loop loop;
+  private final Settings settings;
+  private final StateClient state;
+  private final Client client;
+  private final Leadership leadership;
+  private final Metrics metrics;
+  private final RandomGenerator random;
+  private final PeerLink peers;
+  private final FleetKeeper fleet;
+  private final Cluster cluster;
+  private final JobFeed feed;
+  private final Records records;
+  private final Chains chains;
+  private final long term;
+  private final byte[] nothingToDo;
+  private boolean ended;
+  private boolean loaded;
+
+  /** Calls under way: a burst of launches must not use up the connections. */
+  private int callsOut;
+
+  private final int mostCalls;
+  private boolean cyclePlanned;
+  private final KnownCancellations cancellations;
+  private final double startedAt;
+  private double unpermittedAt = Double.NEGATIVE_INFINITY;
+  private double awakeAt;
+  private double refusedSince = Double.POSITIVE_INFINITY;
+  private double lastCycleS;
+  private OperatorSettings operator = OperatorSettings.START;
+
+  Leader(Node node, long term, long keyVersion) {
+    this.loop = node.loop();
+    this.settings = node.settings();
+    this.state = node.state();
+    this.client = node.client();
+    this.leadership = node.leadership();
+    this.metrics = node.metrics();
+    this.random = node.random();
+    this.peers = node.peers();
+    this.term = term;
+    this.startedAt = loop.now();
+    this.cancellations = new KnownCancellations(settings);
+    this.mostCalls = Math.max(4, settings.sockets() / 8);
+    this.nothingToDo = Json.bytes(answer(List.of()));
+    this.cluster = new Cluster(loop, settings, term, keyVersion);
+    this.feed = new JobFeed(node, this, cluster);
+    this.records = new Records(node, this, cluster);
+    this.chains = new Chains(node, this, cluster, records);
+    this.fleet = new FleetKeeper(node, this, cluster, term);
+  }
+
+  Cluster cluster() {
+    return cluster;
+  }
+
+  FleetKeeper fleet() {
+    return fleet;
+  }
+
+  boolean acting() {
+    return !ended && leadership.acting();
+  }
+
+  /** Whether nobody else may act, although this node may not know enough yet to act itself. */
+  boolean entitled() {
+    return !ended && leadership.entitled();
+  }
+
+  boolean loaded() {
+    return loaded;
+  }
+
+  boolean ended() {
+    return ended;
+  }
+
+  void end() {
+    ended = true;
+  }
+
+  void start() {
+    awakeAt = loop.now();
+    load();
+    loop.after(settings.reportS() / 12, this::makeWay);
+    repeat(settings.reportS() / 12, this::tick);
+    repeat(settings.reportS() / 3, this::saveProgress);
+    repeat(settings.reportS(), this::readOperator);
+    period();
+    readOperator();
+    fleet.start();
+  }
+
+  /**
+   * Notices when this process stood still while its clock ran on: something is done here more often
+   * than several times in a report interval. To be called before anything is made of what was not
+   * heard.
+   */
+  private void awake() {
+    double now = loop.now();
+    if (now - awakeAt > settings.reportS() / 3) {
+      LOG.info("term {}: stood still for {} s", term, Math.round(10 * (now - awakeAt)) / 10.0);
+      cluster.stoodStill();
     }
-
-    Cluster cluster() {
-        return cluster;
-    }
-
-    FleetKeeper fleet() {
-        return fleet;
-    }
-
-    boolean acting() {
-        return !ended && leadership.acting();
-    }
-
-    /** Whether nobody else may act, although this node may not know enough yet to act itself. */
-    boolean entitled() {
-        return !ended && leadership.entitled();
-    }
-
-    boolean loaded() {
-        return loaded;
-    }
-
-    boolean ended() {
-        return ended;
-    }
-
-    void end() {
-        ended = true;
-    }
-
-    void start() {
-        awakeAt = loop.now();
-        load();
-        loop.after(settings.reportS() / 12, this::makeWay);
-        repeat(settings.reportS() / 12, this::tick);
-        repeat(settings.reportS() / 3, this::saveProgress);
-        repeat(settings.reportS(), this::readOperator);
-        period();
-        readOperator();
-        fleet.start();
-    }
-
-    /**
-     * Notices when this process stood still while its clock ran on: something is done here more often than several
-     * times in a report interval. To be called before anything is made of what was not heard.
-     */
-    private void awake() {
-        double now = loop.now();
-        if (now - awakeAt > settings.reportS() / 3) {
-            LOG.info("term {}: stood still for {} s", term, Math.round(10 * (now - awakeAt)) / 10.0);
-            cluster.stoodStill();
-        }
-        awakeAt = now;
-    }
-
-    /** Runs an action again and again for as long as this term lasts, but only while this node may act. */
-    void repeat(double seconds, Runnable action) {
-        loop.after(seconds, () -> {
-            if (ended) {
-                return;
-            }
-            awake();
-            try {
-                if (leadership.acting()) {
-                    action.run();
-                }
-            } finally {
-                repeat(seconds, action);
+    awakeAt = now;
+  }
+
+  /**
+   * Runs an action again and again for as long as this term lasts, but only while this node may
+   * act.
+   */
+  void repeat(double seconds, Runnable action) {
+    loop.after(
+        seconds,
+        () -> {
+          if (ended) {
+            return;
+          }
+          awake();
+          try {
+            if (leadership.acting()) {
+              action.run();
             }
+          } finally {
+            repeat(seconds, action);
+          }
         });
-    }
+  }
 
-    private void period() {
-        loop.after(operator.tuning().periodS(), () -> {
-            if (ended) {
-                return;
-            }
-            try {
-                cycle(true);
-                if (acting() && loaded) {
-                    LOG.info("term {}: {}", term, cluster.summary());
-                }
-            } finally {
-                period();
+  private void period() {
+    loop.after(
+        operator.tuning().periodS(),
+        () -> {
+          if (ended) {
+            return;
+          }
+          try {
+            cycle(true);
+            if (acting() && loaded) {
+              LOG.info("term {}: {}", term, cluster.summary());
             }
+          } finally {
+            period();
+          }
         });
-    }
+  }
 
-    // What the state service knows
+  // What the state service knows
 
-    private void load() {
-        double askedAt = loop.now();
-        state.lists(List.of(Keys.PROGRESS, Keys.SHORT_PROGRESS, Keys.ROSTER, Keys.REACH, Keys.JOBS), read -> {
-            if (ended) {
-                return;
-            }
-            if (read == null) {
-                loop.after(settings.reportS() / 10, this::load);
-                return;
-            }
-            StateClient.Listing jobs = read.get(Keys.JOBS);
-            Map<String, BitSet> done = records.readProgress(read.get(Keys.PROGRESS));
-            records.readShortProgress(read.get(Keys.SHORT_PROGRESS), done);
-            feed.begin(jobs, done, records.readReach(read.get(Keys.REACH)));
-            records.begin(read.get(Keys.ROSTER));
-            loaded = true;
-            cancellationsRead(askedAt);
-            LOG.info("term {}: {} open jobs, {} machines that may hold tasks", term, jobs.entries().size(),
-                    cluster.unsettledCount());
-            feed.watch(jobs.revision());
-            planCycle();
+  private void load() {
+    double askedAt = loop.now();
+    state.lists(
+        List.of(Keys.PROGRESS, Keys.SHORT_PROGRESS, Keys.ROSTER, Keys.REACH, Keys.JOBS),
+        read -> {
+          if (ended) {
+            return;
+          }
+          if (read == null) {
+            loop.after(settings.reportS() / 10, this::load);
+            return;
+          }
+          StateClient.Listing jobs = read.get(Keys.JOBS);
+          Map<String, BitSet> done = records.readProgress(read.get(Keys.PROGRESS));
+          records.readShortProgress(read.get(Keys.SHORT_PROGRESS), done);
+          feed.begin(jobs, done, records.readReach(read.get(Keys.REACH)));
+          records.begin(read.get(Keys.ROSTER));
+          loaded = true;
+          cancellationsRead(askedAt);
+          LOG.info(
+              "term {}: {} open jobs, {} machines that may hold tasks",
+              term,
+              jobs.entries().size(),
+              cluster.unsettledCount());
+          feed.watch(jobs.revision());
+          planCycle();
         });
+  }
+
+  /** All that was cancelled up to some moment is known here; see {@link KnownCancellations}. */
+  private void cancellationsKnown() {
+    leadership.keepAliveUntil(cancellations.keepsAliveUntil());
+  }
+
+  void cancellationsRead(double asOf) {
+    cancellations.read(asOf);
+    cancellationsKnown();
+  }
+
+  /** A peer has told which cancellations it learned of; its answer was asked for at that moment. */
+  void cancellationsTold(String peer, double askedAt, double coveredSince, List<String> jobs) {
+    if (!loaded) {
+      return;
     }
-
-    /** All that was cancelled up to some moment is known here; see {@link KnownCancellations}. */
-    private void cancellationsKnown() {
-        leadership.keepAliveUntil(cancellations.keepsAliveUntil());
+    jobs.forEach(this::cancelled);
+    cancellations.told(peer, askedAt, coveredSince);
+    cancellationsKnown();
+  }
+
+  /**
+   * The state service has the job as cancelled, as this node or a peer has read or written itself.
+   */
+  void cancelled(String job) {
+    if (!loaded) {
+      return;
     }
-
-    void cancellationsRead(double asOf) {
-        cancellations.read(asOf);
-        cancellationsKnown();
+    cluster.ended(job, false, loop.wallMs());
+    if (cluster.job(job) != null) {
+      remove(job);
+      act();
     }
+  }
 
-    /** A peer has told which cancellations it learned of; its answer was asked for at that moment. */
-    void cancellationsTold(String peer, double askedAt, double coveredSince, List<String> jobs) {
-        if (!loaded) {
-            return;
-        }
-        jobs.forEach(this::cancelled);
-        cancellations.told(peer, askedAt, coveredSince);
-        cancellationsKnown();
-    }
+  /** The job is over. */
+  void remove(String job) {
+    cluster.removeJob(job);
+    records.remove(job);
+  }
 
-    /** The state service has the job as cancelled, as this node or a peer has read or written itself. */
-    void cancelled(String job) {
-        if (!loaded) {
-            return;
-        }
-        cluster.ended(job, false, loop.wallMs());
-        if (cluster.job(job) != null) {
-            remove(job);
-            act();
-        }
+  private void saveProgress() {
+    if (loaded) {
+      records.saveProgress();
     }
-
-    /** The job is over. */
-    void remove(String job) {
-        cluster.removeJob(job);
-        records.remove(job);
-    }
-
-    private void saveProgress() {
-        if (loaded) {
-            records.saveProgress();
-        }
-    }
-
-    private void readOperator() {
-        state.get(Keys.OPERATOR, true, answer -> {
-            JsonNode body = answer.ok() ? answer.json() : null;
-            try {
-                if (body != null) {
-                    operator = OperatorSettings.parse(body.get("Data"), settings.teams().keySet());
-                } else if (answer.status() == 404) {
-                    operator = OperatorSettings.START;
-                }
-            } catch (InvalidField e) {
-                LOG.error("stored operators' settings are not used: {}", e.getMessage());
+  }
+
+  private void readOperator() {
+    state.get(
+        Keys.OPERATOR,
+        true,
+        answer -> {
+          JsonNode body = answer.ok() ? answer.json() : null;
+          try {
+            if (body != null) {
+              operator = OperatorSettings.parse(body.get("Data"), settings.teams().keySet());
+            } else if (answer.status() == 404) {
+              operator = OperatorSettings.START;
             }
+          } catch (InvalidField e) {
+            LOG.error("stored operators' settings are not used: {}", e.getMessage());
+          }
         });
-    }
+  }
 
-    // Reports
+  // Reports
 
-    /** The answer to a worker's report; null when this node cannot answer for the controllers now. */
-    byte[] report(Report report) {
-        if (report.token() > term) {
-            leadership.stepDown("worker " + report.machine() + " has seen token " + report.token());
-            return null;
-        }
-        awake();
-        if (!acting() || cluster.isGone(report.machine())) {
-            return null;
-        }
-        Machine machine = cluster.reported(report);
-        List<Command> commands = cluster.responseCommands(machine);
-        act();
-        return commands.isEmpty() ? nothingToDo : Json.bytes(answer(commands));
+  /** The answer to a worker's report; null when this node cannot answer for the controllers now. */
+  byte[] report(Report report) {
+    if (report.token() > term) {
+      leadership.stepDown("worker " + report.machine() + " has seen token " + report.token());
+      return null;
     }
-
-    private ObjectNode answer(List<Command> commands) {
-        ObjectNode answer = Json.object().put("Baton", term);
-        Command.write(answer, commands);
-        return answer;
+    awake();
+    if (!acting() || cluster.isGone(report.machine())) {
+      return null;
     }
-
-    // Loops
-
-    /** Looks after everything that may have become due. */
-    void act() {
-        if (!acting() || !loaded) {
-            return;
-        }
-        records.saveReach();
-        records.saveRoster();
-        records.saveFinished();
-        sendCalls();
-        if (cluster.takeChanged()) {
-            planCycle();
-        }
+    Machine machine = cluster.reported(report);
+    List<Command> commands = cluster.responseCommands(machine);
+    act();
+    return commands.isEmpty() ? nothingToDo : Json.bytes(answer(commands));
+  }
+
+  private ObjectNode answer(List<Command> commands) {
+    ObjectNode answer = Json.object().put("Baton", term);
+    Command.write(answer, commands);
+    return answer;
+  }
+
+  // Loops
+
+  /** Looks after everything that may have become due. */
+  void act() {
+    if (!acting() || !loaded) {
+      return;
     }
-
-    /** Leaves the lead to others where they can do more with it, also when this node may not act itself. */
-    private void makeWay() {
-        if (ended) {
-            return;
-        }
-        if (!leadership.permitted()) {
-            // After an outage the permit is renewed before the jobs can have been read: that takes a moment.
-            unpermittedAt = loop.now();
-        }
-        if (loop.now() > Math.max(Math.max(startedAt, unpermittedAt), cancellations.readAt()) + settings.cancelS() / 3) {
-            leadership.stepDown("cancellations cannot be read");
-        } else if (refusedAlone()) {
-            leadership.stepDown("the state service serves its peers, and not it");
-        } else {
-            loop.after(settings.reportS() / 12, this::makeWay);
-        }
+    records.saveReach();
+    records.saveRoster();
+    records.saveFinished();
+    sendCalls();
+    if (cluster.takeChanged()) {
+      planCycle();
     }
-
-    private void tick() {
-        if (peers.alone(settings.reportS()) && cluster.mostlySilent(2 * settings.reportS())) {
-            leadership.giveWay("it hears neither its peers nor most machines");
-            return;
-        }
-        cluster.expireLeases();
-        cluster.hearing().find();
-        if (!cluster.mostlySilent(settings.reportS() * 4 / 3)) {
-            cluster.roster().freezeSilent();
-        }
-        cluster.retryCalls();
-        chains.look();
-        act();
+  }
+
+  /**
+   * Leaves the lead to others where they can do more with it, also when this node may not act
+   * itself.
+   */
+  private void makeWay() {
+    if (ended) {
+      return;
     }
-
-    /**
-     * Whether the permit is over while the state service serves others. The peers' time is for an outage that all
-     * share; to go on with it here would only keep a successor waiting. Just after an outage some are served a moment
-     * before the leader is, so this must last for several of its tries.
-     */
-    private boolean refusedAlone() {
-        double now = loop.now();
-        refusedSince = peers.servedSince(state.answeredAt()) ? Math.min(refusedSince, now) : Double.POSITIVE_INFINITY;
-        return !leadership.permitted() && now > refusedSince + settings.reportS() / 4;
+    if (!leadership.permitted()) {
+      // After an outage the permit is renewed before the jobs can have been read: that takes a
+      // moment.
+      unpermittedAt = loop.now();
     }
-
-    private void planCycle() {
-        if (!cyclePlanned) {
-            cyclePlanned = true;
-            loop.after(Math.max(settings.reportS() / 100, lastCycleS / CYCLE_SHARE), () -> {
-                cyclePlanned = false;
-                cycle(false);
-            });
-        }
+    if (loop.now()
+        > Math.max(Math.max(startedAt, unpermittedAt), cancellations.readAt())
+            + settings.cancelS() / 3) {
+      leadership.stepDown("cancellations cannot be read");
+    } else if (refusedAlone()) {
+      leadership.stepDown("the state service serves its peers, and not it");
+    } else {
+      loop.after(settings.reportS() / 12, this::makeWay);
     }
+  }
 
-    private void cycle(boolean evict) {
-        awake();
-        if (!acting() || !loaded || cluster.types().isEmpty()) {
-            return;
-        }
-        double began = loop.now();
-        cluster.takeChanged();
-        Plan plan = Cycle.run(cluster.hosts(), cluster.pending(leadership.permitted()), cluster.teams(operator.tuning(),
-                operator.teamWeights()), operator.tuning(), evict, random, began);
-        for (Plan.Placement p : plan.placements()) {
-            LOG.debug("placing task {} on {}", p.task(), p.host());
-            cluster.place(p.task(), p.host(), p.overdue());
-        }
-        for (Plan.Stop s : plan.stops()) {
-            cluster.stop(s.task(), s.host(), s.why());
-        }
-        metrics.add(Metrics.Count.CYCLES, 1);
-        metrics.add(Metrics.Count.PLACED, plan.placements().size());
-        metrics.add(Metrics.Count.STOPPED, plan.stops().size());
-        lastCycleS = loop.now() - began;
-        metrics.took(Metrics.Latency.CYCLE, lastCycleS);
-        records.saveReach();
-        sendCalls();
-        fleet.wanted(plan.unmet());
+  private void tick() {
+    if (peers.alone(settings.reportS()) && cluster.mostlySilent(2 * settings.reportS())) {
+      leadership.giveWay("it hears neither its peers nor most machines");
+      return;
     }
-
-    private void sendCalls() {
-        // Looked at before each call: whoever stood still a moment ago may not act any more.
-        while (callsOut < mostCalls && acting()) {
-            Machine m = cluster.nextToCall();
-            if (m == null) {
-                return;
-            }
-            Cluster.Call call = cluster.call(m);
-            if (call != null) {
-                callsOut++;
-                send(call);
-            }
-        }
+    cluster.expireLeases();
+    cluster.hearing().find();
+    if (!cluster.mostlySilent(settings.reportS() * 4 / 3)) {
+      cluster.roster().freezeSilent();
+    }
+    cluster.retryCalls();
+    chains.look();
+    act();
+  }
+
+  /**
+   * Whether the permit is over while the state service serves others. The peers' time is for an
+   * outage that all share; to go on with it here would only keep a successor waiting. Just after an
+   * outage some are served a moment before the leader is, so this must last for several of its
+   * tries.
+   */
+  private boolean refusedAlone() {
+    double now = loop.now();
+    refusedSince =
+        peers.servedSince(state.answeredAt())
+            ? Math.min(refusedSince, now)
+            : Double.POSITIVE_INFINITY;
+    return !leadership.permitted() && now > refusedSince + settings.reportS() / 4;
+  }
+
+  private void planCycle() {
+    if (!cyclePlanned) {
+      cyclePlanned = true;
+      loop.after(
+          Math.max(settings.reportS() / 100, lastCycleS / CYCLE_SHARE),
+          () -> {
+            cyclePlanned = false;
+            cycle(false);
+          });
     }
+  }
 
-    private void send(Cluster.Call call) {
-        ObjectNode body = answer(call.commands()).put("Shift", call.session());
-        LOG.debug("telling machine {}: {}", call.machine().id(), call.commands());
-        // What only asks where a machine is must not stand in the way of launches when many do not answer.
-        double patience = settings.reportS() * (call.commands().isEmpty() ? 1 : 4) / 3;
-        client.send(call.machine().address(), "POST", "/do", Json.bytes(body), patience, answer -> {
-            callsOut--;
-            Report report = null;
-            if (answer.status() == 200 || answer.status() == 409) {
-                try {
-                    report = Report.parse(answer.body());
-                } catch (InvalidField e) {
-                    LOG.warn("machine {} answered with no report: {}", call.machine().id(), e.getMessage());
-                }
-            }
-            if (ended) {
-                return;
-            }
-            if (report != null && report.token() > term) {
-                leadership.stepDown("worker " + report.machine() + " has seen token " + report.token());
-                return;
+  private void cycle(boolean evict) {
+    awake();
+    if (!acting() || !loaded || cluster.types().isEmpty()) {
+      return;
+    }
+    double began = loop.now();
+    cluster.takeChanged();
+    Plan plan =
+        Cycle.run(
+            cluster.hosts(),
+            cluster.pending(leadership.permitted()),
+            cluster.teams(operator.tuning(), operator.teamWeights()),
+            operator.tuning(),
+            evict,
+            random,
+            began);
+    for (Plan.Placement p : plan.placements()) {
+      LOG.debug("placing task {} on {}", p.task(), p.host());
+      cluster.place(p.task(), p.host(), p.overdue());
+    }
+    for (Plan.Stop s : plan.stops()) {
+      cluster.stop(s.task(), s.host(), s.why());
+    }
+    metrics.add(Metrics.Count.CYCLES, 1);
+    metrics.add(Metrics.Count.PLACED, plan.placements().size());
+    metrics.add(Metrics.Count.STOPPED, plan.stops().size());
+    lastCycleS = loop.now() - began;
+    metrics.took(Metrics.Latency.CYCLE, lastCycleS);
+    records.saveReach();
+    sendCalls();
+    fleet.wanted(plan.unmet());
+  }
+
+  private void sendCalls() {
+    // Looked at before each call: whoever stood still a moment ago may not act any more.
+    while (callsOut < mostCalls && acting()) {
+      Machine m = cluster.nextToCall();
+      if (m == null) {
+        return;
+      }
+      Cluster.Call call = cluster.call(m);
+      if (call != null) {
+        callsOut++;
+        send(call);
+      }
+    }
+  }
+
+  private void send(Cluster.Call call) {
+    ObjectNode body = answer(call.commands()).put("Shift", call.session());
+    LOG.debug("telling machine {}: {}", call.machine().id(), call.commands());
+    // What only asks where a machine is must not stand in the way of launches when many do not
+    // answer.
+    double patience = settings.reportS() * (call.commands().isEmpty() ? 1 : 4) / 3;
+    client.send(
+        call.machine().address(),
+        "POST",
+        "/do",
+        Json.bytes(body),
+        patience,
+        answer -> {
+          callsOut--;
+          Report report = null;
+          if (answer.status() == 200 || answer.status() == 409) {
+            try {
+              report = Report.parse(answer.body());
+            } catch (InvalidField e) {
+              LOG.warn(
+                  "machine {} answered with no report: {}", call.machine().id(), e.getMessage());
             }
-            boolean surelyNot = answer.equals(org.saffronshore.http.Answer.NOT_SENT)
-                    || answer.status() == 409 && report != null;
-            cluster.called(call, answer.status() == 200 && report != null, surelyNot, report);
-            act();
+          }
+          if (ended) {
+            return;
+          }
+          if (report != null && report.token() > term) {
+            leadership.stepDown("worker " + report.machine() + " has seen token " + report.token());
+            return;
+          }
+          boolean surelyNot =
+              answer.equals(org.saffronshore.http.Answer.NOT_SENT)
+                  || answer.status() == 409 && report != null;
+          cluster.called(call, answer.status() == 200 && report != null, surelyNot, report);
+          act();
         });
-    }
+  }
 
-    Progress progress(String id) {
-        Job job = cluster.job(id);
-        return job == null ? Progress.NONE : new Progress(job.doneTasks().cardinality(), job.running());
-    }
+  Progress progress(String id) {
+    Job job = cluster.job(id);
+    return job == null ? Progress.NONE : new Progress(job.doneTasks().cardinality(), job.running());
+  }
 }
