--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -28,295 +28,340 @@
 
 /** One controller: everything it consists of, and the way of each request through it. */
 public final class Node implements Leadership.Listener {
-    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
-    /** So much of what the sockets could bring at once may wait in the ranks of users; more is told to come again. */
-    private static final double QUEUED_SHARE = 1.0 / 8;
-
-    private final Loop loop;
-    private final Settings settings;
-    private final Client client;
-    private final RandomGenerator random;
-    private final Metrics metrics = new Metrics();
-    private final StateClient state;
-    private final JobStore store;
-    private final CloudClient cloud;
-    private final Leadership leadership;
-    private final PeerLink peers;
-    private final UserApi users;
-    private final AdminApi admin;
-    private final Admission admission;
-    private final Redirects redirects;
-    private final TypeFeed types;
-    private Leader leader;
-
-    public Node(Loop loop, Settings settings, Client client, RandomGenerator random) {
-        this.loop = loop;
-        this.settings = settings;
-        this.client = client;
-        this.random = random;
-        this.state = new StateClient(loop, client, settings);
-        this.store = new JobStore(loop, state, settings);
-        store.onCancelled(id -> {
-            if (leader != null) {
-                leader.cancelled(id);
-            }
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+
+  /**
+   * So much of what the sockets could bring at once may wait in the ranks of users; more is told to
+   * come again.
+   */
+  private static final double QUEUED_SHARE = 1.0 / 8;
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Client client;
+  private final RandomGenerator random;
+  private final Metrics metrics = new Metrics();
+  private final StateClient state;
+  private final JobStore store;
+  private final CloudClient cloud;
+  private final Leadership leadership;
+  private final PeerLink peers;
+  private final UserApi users;
+  private final AdminApi admin;
+  private final Admission admission;
+  private final Redirects redirects;
+  private final TypeFeed types;
+  private Leader leader;
+
+  public Node(Loop loop, Settings settings, Client client, RandomGenerator random) {
+    this.loop = loop;
+    this.settings = settings;
+    this.client = client;
+    this.random = random;
+    this.state = new StateClient(loop, client, settings);
+    this.store = new JobStore(loop, state, settings);
+    store.onCancelled(
+        id -> {
+          if (leader != null) {
+            leader.cancelled(id);
+          }
         });
-        this.cloud = new CloudClient(loop, client, settings);
-        this.peers = new PeerLink(this);
-        this.leadership = new Leadership(loop, state, settings, random, this, peers);
-        this.types = new TypeFeed(this, now -> {
-            if (leader != null) {
+    this.cloud = new CloudClient(loop, client, settings);
+    this.peers = new PeerLink(this);
+    this.leadership = new Leadership(loop, state, settings, random, this, peers);
+    this.types =
+        new TypeFeed(
+            this,
+            now -> {
+              if (leader != null) {
                 leader.cluster().types(now);
-            }
+              }
+            });
+    this.users = new UserApi(loop, settings, store, metrics, types::types, this::progress);
+    this.admin = new AdminApi(state, metrics, settings.teams().keySet(), this::status);
+    int queued = Math.max(8, (int) (settings.sockets() * QUEUED_SHARE));
+    this.admission =
+        new Admission(
+            loop,
+            Map.of(
+                Admission.Rank.REPORT,
+                settings.sockets(),
+                Admission.Rank.DECISION,
+                queued,
+                Admission.Rank.SUBMISSION,
+                queued));
+    this.redirects = new Redirects(loop, settings.reportS());
+    metrics.gauge("leading", () -> leadership.acting() ? 1 : 0);
+    metrics.gauge("term", leadership::term);
+    metrics.gauge("machines", () -> leader == null ? 0 : leader.cluster().machines().size());
+    metrics.gauge("open_jobs", () -> leader == null ? 0 : leader.cluster().jobs().size());
+    metrics.gauge(
+        "jobs_waiting_for_others",
+        () -> leader == null ? 0 : leader.cluster().dependencies().waiting());
+  }
+
+  Loop loop() {
+    return loop;
+  }
+
+  Settings settings() {
+    return settings;
+  }
+
+  Client client() {
+    return client;
+  }
+
+  RandomGenerator random() {
+    return random;
+  }
+
+  Metrics metrics() {
+    return metrics;
+  }
+
+  PeerLink peers() {
+    return peers;
+  }
+
+  StateClient state() {
+    return state;
+  }
+
+  JobStore store() {
+    return store;
+  }
+
+  CloudClient cloud() {
+    return cloud;
+  }
+
+  Leadership leadership() {
+    return leadership;
+  }
+
+  /**
+   * Starts everything but the servers; what is needed from outside is fetched in the background.
+   */
+  public void start() {
+    leadership.start();
+    peers.start();
+    types.start();
+    loop.every(settings.reportS() / 3, this::probeState);
+    watchLoop();
+  }
+
+  /** Opens both addresses. Users and workers share one, peers and operators the other. */
+  public void serve(IoEventLoopGroup group) throws InterruptedException {
+    int sockets = settings.sockets();
+    new HttpServer(this::handle, new Sockets(Math.max(8, sockets * 3 / 4)))
+        .start(group, settings.listen());
+    new HttpServer(this::handlePeer, new Sockets(Math.max(8, sockets / 20)))
+        .start(group, settings.peerListen());
+  }
+
+  private void watchLoop() {
+    double due = loop.now() + settings.reportS() / 10;
+    loop.after(
+        settings.reportS() / 10,
+        () -> {
+          metrics.took(Metrics.Latency.LOOP, loop.now() - due);
+          watchLoop();
         });
-        this.users = new UserApi(loop, settings, store, metrics, types::types, this::progress);
-        this.admin = new AdminApi(state, metrics, settings.teams().keySet(), this::status);
-        int queued = Math.max(8, (int) (settings.sockets() * QUEUED_SHARE));
-        this.admission = new Admission(loop, Map.of(Admission.Rank.REPORT, settings.sockets(),
-                Admission.Rank.DECISION, queued, Admission.Rank.SUBMISSION, queued));
-        this.redirects = new Redirects(loop, settings.reportS());
-        metrics.gauge("leading", () -> leadership.acting() ? 1 : 0);
-        metrics.gauge("term", leadership::term);
-        metrics.gauge("machines", () -> leader == null ? 0 : leader.cluster().machines().size());
-        metrics.gauge("open_jobs", () -> leader == null ? 0 : leader.cluster().jobs().size());
-        metrics.gauge("jobs_waiting_for_others", () -> leader == null ? 0 : leader.cluster().dependencies().waiting());
-    }
-
-    Loop loop() {
-        return loop;
-    }
-
-    Settings settings() {
-        return settings;
-    }
-
-    Client client() {
-        return client;
-    }
-
-    RandomGenerator random() {
-        return random;
-    }
-
-    Metrics metrics() {
-        return metrics;
+  }
+
+  // Requests
+
+  public void handle(Request request, Reply reply) {
+    String path = request.path();
+    if (path.equals("/v1/report")) {
+      on("POST", request, reply, Admission.Rank.REPORT, () -> report(request, reply));
+    } else if (path.equals("/healthz")) {
+      health(request, reply);
+    } else if (path.equals("/work")) {
+      on("POST", request, reply, Admission.Rank.SUBMISSION, () -> users.submit(request, reply));
+    } else if (path.startsWith("/work/")) {
+      String rest = path.substring("/work/".length());
+      if (rest.endsWith("/cancel")) {
+        on(
+            "POST",
+            request,
+            reply,
+            Admission.Rank.DECISION,
+            () -> users.cancel(rest.substring(0, rest.length() - "/cancel".length()), reply));
+      } else if (rest.isEmpty() || rest.indexOf('/') >= 0) {
+        reply.error(404, "no such path");
+      } else {
+        on("GET", request, reply, Admission.Rank.DECISION, () -> users.look(rest, reply));
+      }
+    } else {
+      reply.error(404, "no such path");
     }
-
-    PeerLink peers() {
-        return peers;
+  }
+
+  private void on(String method, Request request, Reply reply, Admission.Rank rank, Runnable work) {
+    if (!request.is(method)) {
+      reply.error(405, method + " only");
+    } else if (!admission.offer(
+        rank,
+        () -> {
+          if (reply.wanted()) {
+            work.run();
+          }
+        })) {
+      users.busy(reply);
     }
+  }
 
-    StateClient state() {
-        return state;
+  private void handlePeer(Request request, Reply reply) {
+    if (!peers.handle(request, reply) && !admin.handle(request, reply)) {
+      reply.error(404, "no such path");
     }
-
-    JobStore store() {
-        return store;
+  }
+
+  /**
+   * A node that alone is refused by the state service, or that reaches neither that nor any peer,
+   * sends its users to the others. When nobody is served, all stay: to turn every user away at
+   * once, and to be let back in slowly, would only make an outage longer. An outage reaches the
+   * nodes within moments of one another, so that a peer was served a little later than this node
+   * says nothing.
+   */
+  private void health(Request request, Reply reply) {
+    if (!request.is("GET")) {
+      reply.error(405, "GET only");
+    } else if (types.types().isEmpty()
+        || !served()
+            && (peers.servedSince(state.answeredAt()) || peers.cutOff(settings.reportS()))) {
+      reply.later(503, "not ready", 1);
+    } else {
+      reply.json(200, Json.object().put("ok", true));
     }
+  }
 
-    CloudClient cloud() {
-        return cloud;
-    }
+  /** Whether the state service served this node a moment ago. */
+  boolean served() {
+    return loop.now() - state.answeredAt() < settings.reportS();
+  }
 
-    Leadership leadership() {
-        return leadership;
+  private void probeState() {
+    if (loop.now() - state.answeredAt() > settings.reportS() / 3) {
+      state.get(Keys.TERM, true, answer -> {});
     }
-
-    /** Starts everything but the servers; what is needed from outside is fetched in the background. */
-    public void start() {
-        leadership.start();
-        peers.start();
-        types.start();
-        loop.every(settings.reportS() / 3, this::probeState);
-        watchLoop();
+  }
+
+  private void report(Request request, Reply reply) {
+    metrics.add(Metrics.Count.REPORTS, 1);
+    double began = loop.now();
+    Report report = parsed(request, reply);
+    if (report == null) {
+      return;
     }
-
-    /** Opens both addresses. Users and workers share one, peers and operators the other. */
-    public void serve(IoEventLoopGroup group) throws InterruptedException {
-        int sockets = settings.sockets();
-        new HttpServer(this::handle, new Sockets(Math.max(8, sockets * 3 / 4))).start(group, settings.listen());
-        new HttpServer(this::handlePeer, new Sockets(Math.max(8, sockets / 20))).start(group, settings.peerListen());
+    byte[] answer = leader == null ? null : leader.report(report);
+    if (answer != null) {
+      metrics.took(Metrics.Latency.REPORT, loop.now() - began);
+      reply.send(200, Reply.JSON, answer, 0);
+      return;
     }
-
-    private void watchLoop() {
-        double due = loop.now() + settings.reportS() / 10;
-        loop.after(settings.reportS() / 10, () -> {
-            metrics.took(Metrics.Latency.LOOP, loop.now() - due);
-            watchLoop();
-        });
-    }
-
-    // Requests
-
-    public void handle(Request request, Reply reply) {
-        String path = request.path();
-        if (path.equals("/v1/report")) {
-            on("POST", request, reply, Admission.Rank.REPORT, () -> report(request, reply));
-        } else if (path.equals("/healthz")) {
-            health(request, reply);
-        } else if (path.equals("/work")) {
-            on("POST", request, reply, Admission.Rank.SUBMISSION, () -> users.submit(request, reply));
-        } else if (path.startsWith("/work/")) {
-            String rest = path.substring("/work/".length());
-            if (rest.endsWith("/cancel")) {
-                on("POST", request, reply, Admission.Rank.DECISION,
-                        () -> users.cancel(rest.substring(0, rest.length() - "/cancel".length()), reply));
-            } else if (rest.isEmpty() || rest.indexOf('/') >= 0) {
-                reply.error(404, "no such path");
+    String to = leadership.leaderNode();
+    if (to != null && redirects.cameBack(report.machine(), to)) {
+      peers.relay(
+          to,
+          request.body(),
+          relayed -> {
+            if (relayed == null) {
+              redirect(reply, null);
             } else {
-                on("GET", request, reply, Admission.Rank.DECISION, () -> users.look(rest, reply));
+              metrics.add(Metrics.Count.RELAYED, 1);
+              redirects.relayed(report.machine(), to);
+              reply.send(200, Reply.JSON, relayed, 0);
             }
-        } else {
-            reply.error(404, "no such path");
-        }
+          });
+    } else {
+      redirect(reply, to);
     }
+  }
 
-    private void on(String method, Request request, Reply reply, Admission.Rank rank, Runnable work) {
-        if (!request.is(method)) {
-            reply.error(405, method + " only");
-        } else if (!admission.offer(rank, () -> {
-            if (reply.wanted()) {
-                work.run();
-            }
-        })) {
-            users.busy(reply);
-        }
+  private void redirect(Reply reply, String to) {
+    metrics.add(Metrics.Count.REDIRECTED, 1);
+    ObjectNode redirect = Json.object();
+    if (to != null && !to.equals(settings.node())) {
+      redirect.put("Dispatcher", to);
     }
-
-    private void handlePeer(Request request, Reply reply) {
-        if (!peers.handle(request, reply) && !admin.handle(request, reply)) {
-            reply.error(404, "no such path");
-        }
+    reply.json(421, redirect);
+  }
+
+  private static Report parsed(Request request, Reply reply) {
+    try {
+      return Report.parse(request.body());
+    } catch (InvalidField e) {
+      LOG.warn("a worker's report is malformed: {}", e.getMessage());
+      reply.error(400, e.getMessage());
+      return null;
     }
-
-    /**
-     * A node that alone is refused by the state service, or that reaches neither that nor any peer, sends its users
-     * to the others. When nobody is served, all stay: to turn every user away at once, and to be let back in slowly,
-     * would only make an outage longer. An outage reaches the nodes within moments of one another, so that a peer
-     * was served a little later than this node says nothing.
-     */
-    private void health(Request request, Reply reply) {
-        if (!request.is("GET")) {
-            reply.error(405, "GET only");
-        } else if (types.types().isEmpty()
-                || !served() && (peers.servedSince(state.answeredAt()) || peers.cutOff(settings.reportS()))) {
-            reply.later(503, "not ready", 1);
-        } else {
-            reply.json(200, Json.object().put("ok", true));
-        }
-    }
-
-    /** Whether the state service served this node a moment ago. */
-    boolean served() {
-        return loop.now() - state.answeredAt() < settings.reportS();
+  }
+
+  /**
+   * The answer to a report that a peer relays, or null when this node cannot answer for the
+   * controllers.
+   */
+  byte[] reportAnswer(Request request, Reply reply) {
+    Report report = parsed(request, reply);
+    return report == null || leader == null ? null : leader.report(report);
+  }
+
+  // Leading
+
+  /** The leader's part of this node while it may act, or null. */
+  Leader actingLeader() {
+    return leader != null && leader.acting() ? leader : null;
+  }
+
+  /** What a peer learned of cancellations, in answer to a question of the leader of that term. */
+  void cancellationsTold(
+      long term, String peer, double askedAt, double coveredSince, List<String> jobs) {
+    if (leader != null && leadership.term() == term) {
+      leader.cancellationsTold(peer, askedAt, coveredSince, jobs);
     }
-
-    private void probeState() {
-        if (loop.now() - state.answeredAt() > settings.reportS() / 3) {
-            state.get(Keys.TERM, true, answer -> { });
-        }
-    }
-
-    private void report(Request request, Reply reply) {
-        metrics.add(Metrics.Count.REPORTS, 1);
-        double began = loop.now();
-        Report report = parsed(request, reply);
-        if (report == null) {
-            return;
-        }
-        byte[] answer = leader == null ? null : leader.report(report);
-        if (answer != null) {
-            metrics.took(Metrics.Latency.REPORT, loop.now() - began);
-            reply.send(200, Reply.JSON, answer, 0);
-            return;
-        }
-        String to = leadership.leaderNode();
-        if (to != null && redirects.cameBack(report.machine(), to)) {
-            peers.relay(to, request.body(), relayed -> {
-                if (relayed == null) {
-                    redirect(reply, null);
-                } else {
-                    metrics.add(Metrics.Count.RELAYED, 1);
-                    redirects.relayed(report.machine(), to);
-                    reply.send(200, Reply.JSON, relayed, 0);
-                }
-            });
-        } else {
-            redirect(reply, to);
-        }
-    }
-
-    private void redirect(Reply reply, String to) {
-        metrics.add(Metrics.Count.REDIRECTED, 1);
-        ObjectNode redirect = Json.object();
-        if (to != null && !to.equals(settings.node())) {
-            redirect.put("Dispatcher", to);
-        }
-        reply.json(421, redirect);
-    }
-
-    private static Report parsed(Request request, Reply reply) {
-        try {
-            return Report.parse(request.body());
-        } catch (InvalidField e) {
-            LOG.warn("a worker's report is malformed: {}", e.getMessage());
-            reply.error(400, e.getMessage());
-            return null;
-        }
-    }
-
-    /** The answer to a report that a peer relays, or null when this node cannot answer for the controllers. */
-    byte[] reportAnswer(Request request, Reply reply) {
-        Report report = parsed(request, reply);
-        return report == null || leader == null ? null : leader.report(report);
+  }
+
+  private Progress progress(String job) {
+    Leader acting = actingLeader();
+    return acting != null ? acting.progress(job) : peers.progress(job);
+  }
+
+  @Override
+  public void elected(long term, long keyVersion) {
+    metrics.add(Metrics.Count.TERMS, 1);
+    state.leading(true);
+    leader = new Leader(this, term, keyVersion);
+    leader.cluster().types(types.types());
+    leader.start();
+    types.keep();
+  }
+
+  @Override
+  public void deposed(String why) {
+    state.leading(false);
+    if (leader != null) {
+      leader.end();
+      leader = null;
     }
-
-    // Leading
-
-    /** The leader's part of this node while it may act, or null. */
-    Leader actingLeader() {
-        return leader != null && leader.acting() ? leader : null;
-    }
-
-    /** What a peer learned of cancellations, in answer to a question of the leader of that term. */
-    void cancellationsTold(long term, String peer, double askedAt, double coveredSince, List<String> jobs) {
-        if (leader != null && leadership.term() == term) {
-            leader.cancellationsTold(peer, askedAt, coveredSince, jobs);
-        }
-    }
-
-    private Progress progress(String job) {
-        Leader acting = actingLeader();
-        return acting != null ? acting.progress(job) : peers.progress(job);
-    }
-
-    @Override
-    public void elected(long term, long keyVersion) {
-        metrics.add(Metrics.Count.TERMS, 1);
-        state.leading(true);
-        leader = new Leader(this, term, keyVersion);
-        leader.cluster().types(types.types());
-        leader.start();
-        types.keep();
-    }
-
-    @Override
-    public void deposed(String why) {
-        state.leading(false);
-        if (leader != null) {
-            leader.end();
-            leader = null;
-        }
-    }
-
-    private ObjectNode status() {
-        ObjectNode o = Json.object().put("node", settings.node()).put("leading", leadership.acting())
-                .put("leader", leadership.leaderNode()).put("term", leadership.term()).put("state_serves", served());
-        if (leader != null) {
-            o.put("open_jobs", leader.cluster().jobs().size()).put("machines", leader.cluster().machines().size())
-                    .put("machines_unaccounted", leader.cluster().unsettledCount())
-                    .put("jobs_waiting_for_others", leader.cluster().dependencies().waiting());
-        }
-        return o;
+  }
+
+  private ObjectNode status() {
+    ObjectNode o =
+        Json.object()
+            .put("node", settings.node())
+            .put("leading", leadership.acting())
+            .put("leader", leadership.leaderNode())
+            .put("term", leadership.term())
+            .put("state_serves", served());
+    if (leader != null) {
+      o.put("open_jobs", leader.cluster().jobs().size())
+          .put("machines", leader.cluster().machines().size())
+          .put("machines_unaccounted", leader.cluster().unsettledCount())
+          .put("jobs_waiting_for_others", leader.cluster().dependencies().waiting());
     }
+    return o;
+  }
 }
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -21,260 +21,325 @@
 import org.saffronshore.leadership.Ballot;
 import org.saffronshore.wire.Json;
 
-/** What the controllers tell one another, in CBOR: whether the state service serves them, and jobs' progress. */
+/**
+ * What the controllers tell one another, in CBOR: whether the state service serves them, and jobs'
+ * progress.
+ */
 final class PeerLink implements Ballot {
-    static final String CBOR = "application/cbor";
-    private static final String HELLO = "/peer/hello";
-    private static final String VOTE = "/peer/vote";
-    private static final String GIVE_UP = "/peer/giveup";
-    private static final String REPORT = "/peer/report";
+  static final String CBOR = "application/cbor";
+  private static final String HELLO = "/peer/hello";
+  private static final String VOTE = "/peer/vote";
+  private static final String GIVE_UP = "/peer/giveup";
+  private static final String REPORT = "/peer/report";
 
-    private final Loop loop;
-    private final Settings settings;
-    private final Client client;
-    private final Node node;
-    private final double periodS;
-    /** When a peer last answered anything. */
-    private double answeredAt = Double.NEGATIVE_INFINITY;
-    /** When a message of a peer last came. */
-    private double heardAt = Double.NEGATIVE_INFINITY;
-    /** When each peer last answered; one that is not here may have been asked nothing yet. */
-    private final Map<String, Double> reachedAt = new HashMap<>();
-    /** When the state service last served each peer, as far as it has told. */
-    private final Map<String, Double> servedAt = new HashMap<>();
-    private long sent;
-    /** The number of the latest message of each process that was heard. */
-    private final Map<String, Long> latest = new LinkedHashMap<>(16, 0.75f, true) {
+  private final Loop loop;
+  private final Settings settings;
+  private final Client client;
+  private final Node node;
+  private final double periodS;
+
+  /** When a peer last answered anything. */
+  private double answeredAt = Double.NEGATIVE_INFINITY;
+
+  /** When a message of a peer last came. */
+  private double heardAt = Double.NEGATIVE_INFINITY;
+
+  /** When each peer last answered; one that is not here may have been asked nothing yet. */
+  private final Map<String, Double> reachedAt = new HashMap<>();
+
+  /** When the state service last served each peer, as far as it has told. */
+  private final Map<String, Double> servedAt = new HashMap<>();
+
+  private long sent;
+
+  /** The number of the latest message of each process that was heard. */
+  private final Map<String, Long> latest =
+      new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-            return size() > 16 * settings.controllers();
+          return size() > 16 * settings.controllers();
         }
-    };
-    private Map<String, Progress> progress = Map.of();
-    private long progressTerm;
+      };
 
-    PeerLink(Node node) {
-        this.loop = node.loop();
-        this.settings = node.settings();
-        this.client = node.client();
-        this.node = node;
-        this.periodS = settings.reportS() / 3;
-    }
+  private Map<String, Progress> progress = Map.of();
+  private long progressTerm;
 
-    void start() {
-        loop.every(periodS, this::hello);
-    }
+  PeerLink(Node node) {
+    this.loop = node.loop();
+    this.settings = node.settings();
+    this.client = node.client();
+    this.node = node;
+    this.periodS = settings.reportS() / 3;
+  }
 
-    private void hello() {
-        byte[] body = Json.cbor(greeting());
-        double askedAt = loop.now();
-        long term = node.leadership().term();
-        for (Peer peer : settings.peers()) {
-            client.send(peer.address(), "POST", HELLO, body, periodS * 2, answer -> {
-                JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
-                if (back != null) {
-                    reached(peer);
-                    heard(back);
-                    if (Json.flag(back, "granted") && term == node.leadership().term()) {
-                        node.leadership().granted(peer.node(), askedAt);
-                    }
-                    if (back.path("cancelled").isArray()) {
-                        List<String> jobs = new ArrayList<>();
-                        back.get("cancelled").forEach(id -> jobs.add(id.asText()));
-                        double coveredS = Settings.shrunk(Json.number(back, "cancelled_s", 0));
-                        node.cancellationsTold(term, peer.node(), askedAt, loop.now() - coveredS, jobs);
-                    }
-                }
-            });
-        }
-    }
+  void start() {
+    loop.every(periodS, this::hello);
+  }
 
-    private void reached(Peer peer) {
-        answeredAt = loop.now();
-        reachedAt.put(peer.node(), answeredAt);
+  private void hello() {
+    byte[] body = Json.cbor(greeting());
+    double askedAt = loop.now();
+    long term = node.leadership().term();
+    for (Peer peer : settings.peers()) {
+      client.send(
+          peer.address(),
+          "POST",
+          HELLO,
+          body,
+          periodS * 2,
+          answer -> {
+            JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
+            if (back != null) {
+              reached(peer);
+              heard(back);
+              if (Json.flag(back, "granted") && term == node.leadership().term()) {
+                node.leadership().granted(peer.node(), askedAt);
+              }
+              if (back.path("cancelled").isArray()) {
+                List<String> jobs = new ArrayList<>();
+                back.get("cancelled").forEach(id -> jobs.add(id.asText()));
+                double coveredS = Settings.shrunk(Json.number(back, "cancelled_s", 0));
+                node.cancellationsTold(term, peer.node(), askedAt, loop.now() - coveredS, jobs);
+              }
+            }
+          });
     }
+  }
 
-    /** Whether an answer of this peer is to be waited for: not when it has left several greetings unanswered. */
-    private boolean expected(Peer peer) {
-        return loop.now() < reachedAt.getOrDefault(peer.node(), Double.POSITIVE_INFINITY) + 3 * periodS;
-    }
+  private void reached(Peer peer) {
+    answeredAt = loop.now();
+    reachedAt.put(peer.node(), answeredAt);
+  }
+
+  /**
+   * Whether an answer of this peer is to be waited for: not when it has left several greetings
+   * unanswered.
+   */
+  private boolean expected(Peer peer) {
+    return loop.now() < reachedAt.getOrDefault(peer.node(), Double.POSITIVE_INFINITY) + 3 * periodS;
+  }
 
-    private ObjectNode greeting() {
-        ObjectNode o = self();
-        Leader leader = node.actingLeader();
-        if (leader != null) {
-            o.put("term", leader.cluster().term());
-            ObjectNode jobs = o.putObject("jobs");
-            leader.cluster().jobs().forEach(job -> {
+  private ObjectNode greeting() {
+    ObjectNode o = self();
+    Leader leader = node.actingLeader();
+    if (leader != null) {
+      o.put("term", leader.cluster().term());
+      ObjectNode jobs = o.putObject("jobs");
+      leader
+          .cluster()
+          .jobs()
+          .forEach(
+              job -> {
                 int running = job.running();
                 int done = job.doneTasks().cardinality();
                 if (running + done > 0) {
-                    jobs.putArray(job.spec().id()).add(done).add(running);
+                  jobs.putArray(job.spec().id()).add(done).add(running);
                 }
-            });
-        }
-        return o;
+              });
     }
+    return o;
+  }
 
-    private void heard(JsonNode hello) {
-        String from = Json.text(hello, "node");
-        double ageS = Json.number(hello, "served_s", Double.POSITIVE_INFINITY);
-        if (from != null) {
-            servedAt.merge(from, loop.now() - ageS, Math::max);
-        }
-        long term = Json.count(hello, "term", -1);
-        if (term >= progressTerm && hello.path("jobs").isObject()) {
-            progressTerm = term;
-            Map<String, Progress> all = new HashMap<>();
-            hello.get("jobs").properties().forEach(e -> all.put(e.getKey(),
-                    new Progress(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
-            progress = all;
-        }
+  private void heard(JsonNode hello) {
+    String from = Json.text(hello, "node");
+    double ageS = Json.number(hello, "served_s", Double.POSITIVE_INFINITY);
+    if (from != null) {
+      servedAt.merge(from, loop.now() - ageS, Math::max);
     }
-
-    /** Whether this node is alone as far as it can tell: it has peers, and none has answered for a while. */
-    boolean alone(double forS) {
-        return !settings.peers().isEmpty() && loop.now() > answeredAt + forS;
+    long term = Json.count(hello, "term", -1);
+    if (term >= progressTerm && hello.path("jobs").isObject()) {
+      progressTerm = term;
+      Map<String, Progress> all = new HashMap<>();
+      hello
+          .get("jobs")
+          .properties()
+          .forEach(
+              e ->
+                  all.put(
+                      e.getKey(),
+                      new Progress(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
+      progress = all;
     }
+  }
 
-    /** Whether no peer has been heard either, in answers or by itself. */
-    boolean cutOff(double forS) {
-        return alone(forS) && loop.now() > heardAt + forS;
-    }
+  /**
+   * Whether this node is alone as far as it can tell: it has peers, and none has answered for a
+   * while.
+   */
+  boolean alone(double forS) {
+    return !settings.peers().isEmpty() && loop.now() > answeredAt + forS;
+  }
 
-    /** Hands a worker's report to the leader, and the leader's answer back; null when there is none in time. */
-    void relay(String leader, byte[] report, Consumer<byte[]> then) {
-        for (Peer peer : settings.peers()) {
-            if (peer.node().equals(leader)) {
-                client.send(peer.address(), "POST", REPORT, report, settings.reportS() * 2 / 3,
-                        answer -> then.accept(answer.ok() ? answer.body() : null));
-                return;
-            }
-        }
-        then.accept(null);
-    }
+  /** Whether no peer has been heard either, in answers or by itself. */
+  boolean cutOff(double forS) {
+    return alone(forS) && loop.now() > heardAt + forS;
+  }
 
-    private void relayed(Request request, Reply reply) {
-        byte[] answer = node.reportAnswer(request, reply);
-        if (answer == null) {
-            reply.later(503, "not the leader", 1);
-        } else {
-            reply.send(200, Reply.JSON, answer, 0);
-        }
+  /**
+   * Hands a worker's report to the leader, and the leader's answer back; null when there is none in
+   * time.
+   */
+  void relay(String leader, byte[] report, Consumer<byte[]> then) {
+    for (Peer peer : settings.peers()) {
+      if (peer.node().equals(leader)) {
+        client.send(
+            peer.address(),
+            "POST",
+            REPORT,
+            report,
+            settings.reportS() * 2 / 3,
+            answer -> then.accept(answer.ok() ? answer.body() : null));
+        return;
+      }
     }
+    then.accept(null);
+  }
 
-    private ObjectNode self() {
-        return Json.object().put("node", settings.node()).put("life", node.leadership().incarnation())
-                .put("n", ++sent).put("served", node.served())
-                .put("served_s", Math.min(1e9, loop.now() - node.state().answeredAt()));
+  private void relayed(Request request, Reply reply) {
+    byte[] answer = node.reportAnswer(request, reply);
+    if (answer == null) {
+      reply.later(503, "not the leader", 1);
+    } else {
+      reply.send(200, Reply.JSON, answer, 0);
     }
+  }
 
-    /**
-     * Whether a message is a copy, or was overtaken by a later one of the same process. Were a candidate's
-     * "I give up" to come after it had asked for time once more, the time it leads on would be given away again.
-     */
-    private boolean outdated(String from, String life, long n) {
-        String process = from + "/" + life;
-        Long last = latest.get(process);
-        if (last != null && n <= last) {
-            return true;
-        }
-        latest.put(process, n);
-        return false;
+  private ObjectNode self() {
+    return Json.object()
+        .put("node", settings.node())
+        .put("life", node.leadership().incarnation())
+        .put("n", ++sent)
+        .put("served", node.served())
+        .put("served_s", Math.min(1e9, loop.now() - node.state().answeredAt()));
+  }
+
+  /**
+   * Whether a message is a copy, or was overtaken by a later one of the same process. Were a
+   * candidate's "I give up" to come after it had asked for time once more, the time it leads on
+   * would be given away again.
+   */
+  private boolean outdated(String from, String life, long n) {
+    String process = from + "/" + life;
+    Long last = latest.get(process);
+    if (last != null && n <= last) {
+      return true;
     }
+    latest.put(process, n);
+    return false;
+  }
 
-    @Override
-    public void ask(long term, Predicate<List<Vote>> enough, Consumer<List<Vote>> then) {
-        List<Vote> votes = new ArrayList<>();
-        Set<Peer> missing = new HashSet<>(settings.peers());
-        // Those who have not been there for a while are asked too, but the time of the others is not held for them.
-        missing.removeIf(peer -> !expected(peer));
-        boolean[] told = new boolean[1];
-        Runnable tell = () -> {
-            if (!told[0] && (missing.isEmpty() || enough.test(votes))) {
-                told[0] = true;
-                then.accept(votes);
-            }
+  @Override
+  public void ask(long term, Predicate<List<Vote>> enough, Consumer<List<Vote>> then) {
+    List<Vote> votes = new ArrayList<>();
+    Set<Peer> missing = new HashSet<>(settings.peers());
+    // Those who have not been there for a while are asked too, but the time of the others is not
+    // held for them.
+    missing.removeIf(peer -> !expected(peer));
+    boolean[] told = new boolean[1];
+    Runnable tell =
+        () -> {
+          if (!told[0] && (missing.isEmpty() || enough.test(votes))) {
+            told[0] = true;
+            then.accept(votes);
+          }
         };
-        byte[] body = Json.cbor(self().put("term", term));
-        for (Peer peer : settings.peers()) {
-            client.send(peer.address(), "POST", VOTE, body, periodS / 2, answer -> {
-                JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
-                if (back != null && Json.text(back, "life") != null) {
-                    reached(peer);
-                    votes.add(new Vote(peer.node(), Json.text(back, "life"), Json.flag(back, "granted")));
-                }
-                missing.remove(peer);
-                tell.run();
-            });
-        }
-        tell.run();
+    byte[] body = Json.cbor(self().put("term", term));
+    for (Peer peer : settings.peers()) {
+      client.send(
+          peer.address(),
+          "POST",
+          VOTE,
+          body,
+          periodS / 2,
+          answer -> {
+            JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
+            if (back != null && Json.text(back, "life") != null) {
+              reached(peer);
+              votes.add(new Vote(peer.node(), Json.text(back, "life"), Json.flag(back, "granted")));
+            }
+            missing.remove(peer);
+            tell.run();
+          });
     }
+    tell.run();
+  }
 
-    @Override
-    public void giveUp(long term) {
-        byte[] body = Json.cbor(self().put("term", term));
-        for (Peer peer : settings.peers()) {
-            client.send(peer.address(), "POST", GIVE_UP, body, periodS, answer -> { });
-        }
+  @Override
+  public void giveUp(long term) {
+    byte[] body = Json.cbor(self().put("term", term));
+    for (Peer peer : settings.peers()) {
+      client.send(peer.address(), "POST", GIVE_UP, body, periodS, answer -> {});
     }
+  }
 
-    /** Answers what is meant for the peer link; false when the path is not. */
-    boolean handle(Request request, Reply reply) {
-        String path = request.path();
-        if (path.equals(REPORT)) {
-            relayed(request, reply);
-            return true;
-        }
-        if (!path.equals(HELLO) && !path.equals(VOTE) && !path.equals(GIVE_UP)) {
-            return false;
-        }
-        JsonNode message = request.body() == null ? null : Json.parseCbor(request.body());
-        String from = message == null ? null : Json.text(message, "node");
-        String life = message == null ? null : Json.text(message, "life");
-        if (!request.is("POST") || from == null || life == null) {
-            reply.error(400, "not a message of a peer");
-            return true;
-        }
-        long term = Json.count(message, "term", -1);
-        heardAt = loop.now();
-        ObjectNode answer = self();
-        if (outdated(from, life, Json.count(message, "n", 0))) {
-            answer.put("granted", false);
-        } else if (path.equals(GIVE_UP)) {
-            node.leadership().peerGaveUp(from, life, term);
-        } else {
-            if (path.equals(HELLO)) {
-                heard(message);
-                if (term >= 0) {
-                    tellCancellations(answer);
-                }
-            }
-            answer.put("granted", term >= 0 && node.leadership().give(from, life, term, path.equals(VOTE),
-                    Json.flag(message, "served"), node.served()));
+  /** Answers what is meant for the peer link; false when the path is not. */
+  boolean handle(Request request, Reply reply) {
+    String path = request.path();
+    if (path.equals(REPORT)) {
+      relayed(request, reply);
+      return true;
+    }
+    if (!path.equals(HELLO) && !path.equals(VOTE) && !path.equals(GIVE_UP)) {
+      return false;
+    }
+    JsonNode message = request.body() == null ? null : Json.parseCbor(request.body());
+    String from = message == null ? null : Json.text(message, "node");
+    String life = message == null ? null : Json.text(message, "life");
+    if (!request.is("POST") || from == null || life == null) {
+      reply.error(400, "not a message of a peer");
+      return true;
+    }
+    long term = Json.count(message, "term", -1);
+    heardAt = loop.now();
+    ObjectNode answer = self();
+    if (outdated(from, life, Json.count(message, "n", 0))) {
+      answer.put("granted", false);
+    } else if (path.equals(GIVE_UP)) {
+      node.leadership().peerGaveUp(from, life, term);
+    } else {
+      if (path.equals(HELLO)) {
+        heard(message);
+        if (term >= 0) {
+          tellCancellations(answer);
         }
-        reply.send(200, CBOR, Json.cbor(answer), 0);
-        return true;
+      }
+      answer.put(
+          "granted",
+          term >= 0
+              && node.leadership()
+                  .give(
+                      from,
+                      life,
+                      term,
+                      path.equals(VOTE),
+                      Json.flag(message, "served"),
+                      node.served()));
     }
+    reply.send(200, CBOR, Json.cbor(answer), 0);
+    return true;
+  }
 
-    /**
-     * To a leader, which may be refused by the state service while this node is served: what was cancelled, so that
-     * it stops the tasks at once; and for how long nothing is missing, so that in an outage it may go on with others.
-     */
-    private void tellCancellations(ObjectNode answer) {
-        ArrayNode jobs = answer.putArray("cancelled");
-        node.store().recentlyCancelled().forEach(jobs::add);
-        answer.put("cancelled_s", node.store().cancellationsCoverS());
-    }
+  /**
+   * To a leader, which may be refused by the state service while this node is served: what was
+   * cancelled, so that it stops the tasks at once; and for how long nothing is missing, so that in
+   * an outage it may go on with others.
+   */
+  private void tellCancellations(ObjectNode answer) {
+    ArrayNode jobs = answer.putArray("cancelled");
+    node.store().recentlyCancelled().forEach(jobs::add);
+    answer.put("cancelled_s", node.store().cancellationsCoverS());
+  }
 
-    /** Whether the state service has served some peer since that moment, and for some time after it. */
-    boolean servedSince(double moment) {
-        return servedAt.values().stream().anyMatch(at -> at > moment + 2 * periodS);
-    }
+  /**
+   * Whether the state service has served some peer since that moment, and for some time after it.
+   */
+  boolean servedSince(double moment) {
+    return servedAt.values().stream().anyMatch(at -> at > moment + 2 * periodS);
+  }
 
-    Progress progress(String job) {
-        return progress.getOrDefault(job, Progress.NONE);
-    }
+  Progress progress(String job) {
+    return progress.getOrDefault(job, Progress.NONE);
+  }
 }
--- a/src/main/java/org/saffronshore/control/Records.java
+++ b/src/main/java/org/saffronshore/control/Records.java
@@ -35,371 +35,431 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What a term writes down for the next one: which jobs are done, which tasks of the others are finished, and which
- * machines may hold tasks. Every write is guarded by the leader's key.
+ * What a term writes down for the next one: which jobs are done, which tasks of the others are
+ * finished, and which machines may hold tasks. Every write is guarded by the leader's key.
  */
 final class Records {
-    private static final Logger LOG = LoggerFactory.getLogger(Records.class);
-    /** Finished tasks are kept in pieces, so that an entry stays below what the state service takes. */
-    private static final int PIECE = 32_768;
-    /** Pages are filled to about this length, or to a share of the longest value where that is short. */
-    private static final int PAGE_BYTES = 4096;
-    private static final double FILLED = 0.6;
-    /** They may grow to this share of it. */
-    private static final double GROWN = 0.9;
-    /** What an entry of finished tasks takes beside its bits. */
-    private static final int NAME_BYTES = 64;
-    /** Launches may wait for a write so many times in a report interval; each spends the budget of all nodes. */
-    private static final double REACH_WRITES = 40;
-    /** A transaction may be 64 KiB long; this leaves room for its guards. */
-    private static final int MOST_TXN_BYTES = 40 * 1024;
-
-    private final Loop loop;
-    private final Settings settings;
-    private final StateClient state;
-    private final JobStore store;
-    private final Leadership leadership;
-    private final Leader leader;
-    private final Cluster cluster;
-    private final Pages progress;
-    /** Where values are too short for pieces of the usual length, the pieces of the largest jobs; and their length. */
-    private final Pages shortProgress;
-    private final int shortPiece;
-    private final Pages roster;
-    private final Pages reach;
-    private boolean progressBusy;
-    private boolean shortFirst;
-    private boolean rosterBusy;
-    private boolean reachBusy;
-    private double reachAgainAt = Double.NEGATIVE_INFINITY;
-    private double finishAgainAt = Double.NEGATIVE_INFINITY;
-    private double rosterAgainAt = Double.NEGATIVE_INFINITY;
-
-    Records(Node node, Leader leader, Cluster cluster) {
-        this.loop = node.loop();
-        this.settings = node.settings();
-        this.state = node.state();
-        this.store = node.store();
-        this.leadership = node.leadership();
-        this.leader = leader;
-        this.cluster = cluster;
-        int fill = (int) Math.min(PAGE_BYTES, settings.valueKb() * 1024 * FILLED);
-        int most = (int) (settings.valueKb() * 1024 * GROWN);
-        int shortPiece = PIECE;
-        while (shortPiece > Byte.SIZE && shortPiece / 6 + NAME_BYTES > most) {
-            shortPiece /= 2;
-        }
-        this.shortPiece = shortPiece;
-        this.shortProgress = new Pages(Keys.SHORT_PROGRESS, fill, most);
-        this.progress = new Pages(Keys.PROGRESS, fill, most);
-        this.roster = new Pages(Keys.ROSTER, fill, most);
-        this.reach = new Pages(Keys.REACH, fill, most);
-    }
+  private static final Logger LOG = LoggerFactory.getLogger(Records.class);
 
-    // What earlier terms wrote
+  /**
+   * Finished tasks are kept in pieces, so that an entry stays below what the state service takes.
+   */
+  private static final int PIECE = 32_768;
 
-    /** The finished tasks of each job. */
-    Map<String, BitSet> readProgress(StateClient.Listing stored) {
-        Map<String, BitSet> done = new HashMap<>();
-        progress.read(stored.entries(), (name, value) -> finished(done, name, value, PIECE));
-        return done;
-    }
+  /**
+   * Pages are filled to about this length, or to a share of the longest value where that is short.
+   */
+  private static final int PAGE_BYTES = 4096;
 
-    /** The same of jobs that have shorter pieces. */
-    void readShortProgress(StateClient.Listing stored, Map<String, BitSet> done) {
-        shortProgress.read(stored.entries(), (name, value) -> finished(done, name, value.path("Bits"),
-                (int) Json.count(value, "Piece", shortPiece)));
-    }
+  private static final double FILLED = 0.6;
 
-    private static void finished(Map<String, BitSet> done, String name, JsonNode value, int pieceLength) {
-        BitSet bits = done.computeIfAbsent(Keys.idOf(Keys.PROGRESS + name), j -> new BitSet());
-        int piece = Integer.parseInt(name.substring(name.lastIndexOf('/') + 1));
-        try {
-            BitSet.valueOf(value.binaryValue()).stream().forEach(i -> bits.set(piece * pieceLength + i));
-        } catch (IOException | RuntimeException e) {
-            LOG.error("the record of finished tasks {} cannot be read", name, e);
-        }
-    }
+  /** They may grow to this share of it. */
+  private static final double GROWN = 0.9;
 
-    /** How far each job's tasks may have been launched. */
-    Map<String, Integer> readReach(StateClient.Listing stored) {
-        Map<String, Integer> all = new HashMap<>();
-        reach.read(stored.entries(), (job, value) -> all.merge(job, value.asInt(), Math::max));
-        return all;
-    }
+  /** What an entry of finished tasks takes beside its bits. */
+  private static final int NAME_BYTES = 64;
 
-    /** Tells the cluster of all machines that may hold tasks, and forgets the progress of jobs that are over. */
-    void begin(StateClient.Listing storedRoster) {
-        Set<String> seen = new HashSet<>();
-        roster.read(storedRoster.entries(), (machine, entry) -> {
-            // While a page is split an entry may stand twice, and nothing tells which is the newer one.
-            boolean once = seen.add(machine);
-            double ageS = (loop.wallMs() - Json.count(entry, "At", Long.MAX_VALUE / 2)) / 1000.0;
-            cluster.addRoster(machine, ageS - 2 * settings.clockOffS(), once ? held(entry.get("Held")) : null);
-        });
-        for (String job : new ArrayList<>(reach.names())) {
-            if (cluster.job(job) == null) {
-                reach.remove(job);
-            }
-        }
-        for (Pages pages : List.of(progress, shortProgress)) {
-            for (String name : new ArrayList<>(pages.names())) {
-                if (cluster.job(Keys.idOf(Keys.PROGRESS + name)) == null) {
-                    pages.remove(name);
-                }
-            }
-        }
-    }
+  /**
+   * Launches may wait for a write so many times in a report interval; each spends the budget of all
+   * nodes.
+   */
+  private static final double REACH_WRITES = 40;
 
-    /** All that the machine can hold, or null when that may be anything. */
-    private static Set<TaskId> held(JsonNode tasks) {
-        if (tasks == null) {
-            return null;
-        }
-        Set<TaskId> held = new HashSet<>();
-        for (JsonNode task : tasks) {
-            try {
-                held.add(TaskId.parse(task.asText()));
-            } catch (InvalidField e) {
-                LOG.error("a record of what a machine holds cannot be read: {}", e.getMessage());
-                return null;
-            }
-        }
-        return held;
-    }
+  /** A transaction may be 64 KiB long; this leaves room for its guards. */
+  private static final int MOST_TXN_BYTES = 40 * 1024;
+
+  private final Loop loop;
+  private final Settings settings;
+  private final StateClient state;
+  private final JobStore store;
+  private final Leadership leadership;
+  private final Leader leader;
+  private final Cluster cluster;
+  private final Pages progress;
+
+  /**
+   * Where values are too short for pieces of the usual length, the pieces of the largest jobs; and
+   * their length.
+   */
+  private final Pages shortProgress;
 
-    // Writing
+  private final int shortPiece;
+  private final Pages roster;
+  private final Pages reach;
+  private boolean progressBusy;
+  private boolean shortFirst;
+  private boolean rosterBusy;
+  private boolean reachBusy;
+  private double reachAgainAt = Double.NEGATIVE_INFINITY;
+  private double finishAgainAt = Double.NEGATIVE_INFINITY;
+  private double rosterAgainAt = Double.NEGATIVE_INFINITY;
 
-    private Txn guarded() {
-        return new Txn().guard(Keys.LEADER, leadership.keyVersion());
+  Records(Node node, Leader leader, Cluster cluster) {
+    this.loop = node.loop();
+    this.settings = node.settings();
+    this.state = node.state();
+    this.store = node.store();
+    this.leadership = node.leadership();
+    this.leader = leader;
+    this.cluster = cluster;
+    int fill = (int) Math.min(PAGE_BYTES, settings.valueKb() * 1024 * FILLED);
+    int most = (int) (settings.valueKb() * 1024 * GROWN);
+    int shortPiece = PIECE;
+    while (shortPiece > Byte.SIZE && shortPiece / 6 + NAME_BYTES > most) {
+      shortPiece /= 2;
     }
+    this.shortPiece = shortPiece;
+    this.shortProgress = new Pages(Keys.SHORT_PROGRESS, fill, most);
+    this.progress = new Pages(Keys.PROGRESS, fill, most);
+    this.roster = new Pages(Keys.ROSTER, fill, most);
+    this.reach = new Pages(Keys.REACH, fill, most);
+  }
 
-    private boolean stillLeading(JsonNode refusal) {
-        if (refusal != null) {
-            for (JsonNode key : refusal.path("failed")) {
-                if (Keys.LEADER.equals(key.asText())) {
-                    leadership.stepDown("its key is gone");
-                    return false;
-                }
-            }
-        }
-        return true;
+  // What earlier terms wrote
+
+  /** The finished tasks of each job. */
+  Map<String, BitSet> readProgress(StateClient.Listing stored) {
+    Map<String, BitSet> done = new HashMap<>();
+    progress.read(stored.entries(), (name, value) -> finished(done, name, value, PIECE));
+    return done;
+  }
+
+  /** The same of jobs that have shorter pieces. */
+  void readShortProgress(StateClient.Listing stored, Map<String, BitSet> done) {
+    shortProgress.read(
+        stored.entries(),
+        (name, value) ->
+            finished(done, name, value.path("Bits"), (int) Json.count(value, "Piece", shortPiece)));
+  }
+
+  private static void finished(
+      Map<String, BitSet> done, String name, JsonNode value, int pieceLength) {
+    BitSet bits = done.computeIfAbsent(Keys.idOf(Keys.PROGRESS + name), j -> new BitSet());
+    int piece = Integer.parseInt(name.substring(name.lastIndexOf('/') + 1));
+    try {
+      BitSet.valueOf(value.binaryValue()).stream().forEach(i -> bits.set(piece * pieceLength + i));
+    } catch (IOException | RuntimeException e) {
+      LOG.error("the record of finished tasks {} cannot be read", name, e);
     }
+  }
 
-    /** The job is over: its finished tasks need not be kept any more. */
-    void remove(String job) {
+  /** How far each job's tasks may have been launched. */
+  Map<String, Integer> readReach(StateClient.Listing stored) {
+    Map<String, Integer> all = new HashMap<>();
+    reach.read(stored.entries(), (job, value) -> all.merge(job, value.asInt(), Math::max));
+    return all;
+  }
+
+  /**
+   * Tells the cluster of all machines that may hold tasks, and forgets the progress of jobs that
+   * are over.
+   */
+  void begin(StateClient.Listing storedRoster) {
+    Set<String> seen = new HashSet<>();
+    roster.read(
+        storedRoster.entries(),
+        (machine, entry) -> {
+          // While a page is split an entry may stand twice, and nothing tells which is the newer
+          // one.
+          boolean once = seen.add(machine);
+          double ageS = (loop.wallMs() - Json.count(entry, "At", Long.MAX_VALUE / 2)) / 1000.0;
+          cluster.addRoster(
+              machine, ageS - 2 * settings.clockOffS(), once ? held(entry.get("Held")) : null);
+        });
+    for (String job : new ArrayList<>(reach.names())) {
+      if (cluster.job(job) == null) {
         reach.remove(job);
-        for (int piece = 0; piece * PIECE < JobSpec.MOST_TASKS; piece++) {
-            progress.remove(name(job, piece));
-        }
-        if (shortPiece < PIECE) {
-            shortProgress.names().stream().filter(name -> name.startsWith(job + "/")).toList().forEach(shortProgress::remove);
+      }
+    }
+    for (Pages pages : List.of(progress, shortProgress)) {
+      for (String name : new ArrayList<>(pages.names())) {
+        if (cluster.job(Keys.idOf(Keys.PROGRESS + name)) == null) {
+          pages.remove(name);
         }
+      }
     }
+  }
 
-    private static String name(String job, int piece) {
-        return job + "/" + piece;
+  /** All that the machine can hold, or null when that may be anything. */
+  private static Set<TaskId> held(JsonNode tasks) {
+    if (tasks == null) {
+      return null;
     }
+    Set<TaskId> held = new HashSet<>();
+    for (JsonNode task : tasks) {
+      try {
+        held.add(TaskId.parse(task.asText()));
+      } catch (InvalidField e) {
+        LOG.error("a record of what a machine holds cannot be read: {}", e.getMessage());
+        return null;
+      }
+    }
+    return held;
+  }
 
-    /** Commits that jobs are done, before any user is told so. */
-    void saveFinished() {
-        if (cluster.complete().isEmpty() || loop.now() < finishAgainAt) {
-            return;
-        }
-        for (Job job : new ArrayList<>(cluster.complete())) {
-            if (!job.saving()) {
-                saveFinished(job);
-            }
+  // Writing
+
+  private Txn guarded() {
+    return new Txn().guard(Keys.LEADER, leadership.keyVersion());
+  }
+
+  private boolean stillLeading(JsonNode refusal) {
+    if (refusal != null) {
+      for (JsonNode key : refusal.path("failed")) {
+        if (Keys.LEADER.equals(key.asText())) {
+          leadership.stepDown("its key is gone");
+          return false;
         }
+      }
     }
+    return true;
+  }
 
-    private void saveFinished(Job job) {
-        String id = job.spec().id();
-        long endedMs = loop.wallMs();
-        Txn txn = JobStore.end(guarded(), id, job.version(), JobStore.Status.DONE, endedMs);
-        job.saving(true);
-        state.commit(txn, true, answer -> {
-            job.saving(false);
-            if (leader.ended()) {
-                return;
-            }
-            if (answer.ok()) {
-                LOG.debug("job {} is done", id);
-                store.remember(id, JobStore.Status.DONE);
-                cluster.ended(id, true, endedMs);
-                leader.remove(id);
-                leader.act();
-                return;
-            }
-            // Its user cancelled it, or an earlier try of ours came through, which the watch will tell; or the
-            // service is away, and to ask it again with every report would only add to its trouble.
-            if (answer.status() != 409 || stillLeading(answer.json())) {
-                finishAgainAt = loop.now() + settings.reportS() / 6;
-            }
-        });
+  /** The job is over: its finished tasks need not be kept any more. */
+  void remove(String job) {
+    reach.remove(job);
+    for (int piece = 0; piece * PIECE < JobSpec.MOST_TASKS; piece++) {
+      progress.remove(name(job, piece));
+    }
+    if (shortPiece < PIECE) {
+      shortProgress.names().stream()
+          .filter(name -> name.startsWith(job + "/"))
+          .toList()
+          .forEach(shortProgress::remove);
     }
+  }
 
-    /** Writes that a job is cancelled with one that it needs: users are told so already. */
-    void saveCancelled(Job job, Runnable then) {
-        String id = job.spec().id();
-        Txn txn = JobStore.end(guarded(), id, job.version(), JobStore.Status.CANCELLED, loop.wallMs());
-        state.commit(txn, false, answer -> {
-            if (leader.ended()) {
-                return;
-            }
-            if (answer.ok()) {
-                store.remember(id, JobStore.Status.CANCELLED);
-            } else if (answer.status() == 409) {
-                stillLeading(answer.json());
-            }
-            then.run();
-        });
+  private static String name(String job, int piece) {
+    return job + "/" + piece;
+  }
+
+  /** Commits that jobs are done, before any user is told so. */
+  void saveFinished() {
+    if (cluster.complete().isEmpty() || loop.now() < finishAgainAt) {
+      return;
     }
+    for (Job job : new ArrayList<>(cluster.complete())) {
+      if (!job.saving()) {
+        saveFinished(job);
+      }
+    }
+  }
 
-    /** Keeps which tasks are finished, so that a change of leader does not run them again. */
-    void saveProgress() {
-        if (progressBusy) {
+  private void saveFinished(Job job) {
+    String id = job.spec().id();
+    long endedMs = loop.wallMs();
+    Txn txn = JobStore.end(guarded(), id, job.version(), JobStore.Status.DONE, endedMs);
+    job.saving(true);
+    state.commit(
+        txn,
+        true,
+        answer -> {
+          job.saving(false);
+          if (leader.ended()) {
             return;
-        }
-        Map<Job, BitSet> saving = new LinkedHashMap<>();
-        Map<Job, Set<String>> entries = new HashMap<>();
-        for (Job job : cluster.unsaved()) {
-            if (!job.complete()) {
-                BitSet now = (BitSet) job.doneTasks().clone();
-                saving.put(job, now);
-                entries.put(job, enter(job, now));
-            }
-        }
-        Txn txn = guarded();
-        // In turns, should both have something to write.
-        shortFirst = !shortFirst;
-        Pages.Batch first = (shortFirst ? shortProgress : progress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
-        Pages.Batch batch = first.isEmpty()
-                ? (shortFirst ? progress : shortProgress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES) : first;
-        if (batch.isEmpty()) {
+          }
+          if (answer.ok()) {
+            LOG.debug("job {} is done", id);
+            store.remember(id, JobStore.Status.DONE);
+            cluster.ended(id, true, endedMs);
+            leader.remove(id);
+            leader.act();
             return;
-        }
-        saving.keySet().removeIf(job -> !entries.get(job).stream().allMatch(batch::holds));
-        progressBusy = true;
-        write(txn, batch, written -> {
-            progressBusy = false;
-            if (written) {
-                saving.forEach(cluster::saved);
-            }
+          }
+          // Its user cancelled it, or an earlier try of ours came through, which the watch will
+          // tell; or the
+          // service is away, and to ask it again with every report would only add to its trouble.
+          if (answer.status() != 409 || stillLeading(answer.json())) {
+            finishAgainAt = loop.now() + settings.reportS() / 6;
+          }
         });
-    }
+  }
 
-    /** Writes pages, and tells whether that was carried out for as long as this term lasts. */
-    private void write(Txn txn, Pages.Batch batch, Consumer<Boolean> then) {
-        state.commit(txn, true, answer -> {
-            boolean written = batch.written(state, answer);
-            if (leader.ended()) {
-                return;
-            }
-            then.accept(written);
-            if (!written && answer.status() == 409) {
-                stillLeading(answer.json());
-            }
+  /** Writes that a job is cancelled with one that it needs: users are told so already. */
+  void saveCancelled(Job job, Runnable then) {
+    String id = job.spec().id();
+    Txn txn = JobStore.end(guarded(), id, job.version(), JobStore.Status.CANCELLED, loop.wallMs());
+    state.commit(
+        txn,
+        false,
+        answer -> {
+          if (leader.ended()) {
+            return;
+          }
+          if (answer.ok()) {
+            store.remember(id, JobStore.Status.CANCELLED);
+          } else if (answer.status() == 409) {
+            stillLeading(answer.json());
+          }
+          then.run();
         });
-    }
+  }
 
-    /** Puts the finished tasks of a job where they are new; the names of what changed. */
-    private Set<String> enter(Job job, BitSet now) {
-        Set<String> names = new LinkedHashSet<>();
-        BitSet news = (BitSet) now.clone();
-        news.andNot(job.savedTasks());
-        // Pieces of the usual length are what earlier versions read; of all but the largest jobs one holds all.
-        boolean shorter = shortPiece < PIECE && job.spec().tasks() > shortPiece;
-        int length = shorter ? shortPiece : PIECE;
-        for (int i = news.nextSetBit(0); i >= 0; i = news.nextSetBit((i / length + 1) * length)) {
-            int piece = i / length;
-            String name = name(job.spec().id(), piece);
-            String bits = Base64.getEncoder().encodeToString(now.get(piece * length, (piece + 1) * length).toByteArray());
-            if (shorter) {
-                shortProgress.put(name, Json.object().put("Bits", bits).put("Piece", length));
-            } else {
-                progress.put(name, TextNode.valueOf(bits));
-            }
-            names.add(name);
-        }
-        return names;
+  /** Keeps which tasks are finished, so that a change of leader does not run them again. */
+  void saveProgress() {
+    if (progressBusy) {
+      return;
+    }
+    Map<Job, BitSet> saving = new LinkedHashMap<>();
+    Map<Job, Set<String>> entries = new HashMap<>();
+    for (Job job : cluster.unsaved()) {
+      if (!job.complete()) {
+        BitSet now = (BitSet) job.doneTasks().clone();
+        saving.put(job, now);
+        entries.put(job, enter(job, now));
+      }
+    }
+    Txn txn = guarded();
+    // In turns, should both have something to write.
+    shortFirst = !shortFirst;
+    Pages.Batch first =
+        (shortFirst ? shortProgress : progress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+    Pages.Batch batch =
+        first.isEmpty()
+            ? (shortFirst ? progress : shortProgress).addTo(txn, settings.txnOps(), MOST_TXN_BYTES)
+            : first;
+    if (batch.isEmpty()) {
+      return;
     }
+    saving.keySet().removeIf(job -> !entries.get(job).stream().allMatch(batch::holds));
+    progressBusy = true;
+    write(
+        txn,
+        batch,
+        written -> {
+          progressBusy = false;
+          if (written) {
+            saving.forEach(cluster::saved);
+          }
+        });
+  }
 
-    /**
-     * A task is launched only once the state service knows that tasks of its job up to it may have been. So a next
-     * leader that cannot find some machines still knows which tasks cannot be there. A job is written down with its
-     * first tasks, and then for twice as many each time.
-     */
-    void saveReach() {
-        double now = loop.now();
-        if (reachBusy || now < reachAgainAt || cluster.reaching().isEmpty()) {
-            return;
-        }
-        Map<Job, Integer> wanted = new LinkedHashMap<>();
-        for (Job job : cluster.reaching()) {
-            wanted.put(job, job.wantedReach());
-            reach.put(job.spec().id(), IntNode.valueOf(job.wantedReach()));
-        }
-        Txn txn = guarded();
-        Pages.Batch batch = reach.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
-        if (batch.isEmpty()) {
+  /** Writes pages, and tells whether that was carried out for as long as this term lasts. */
+  private void write(Txn txn, Pages.Batch batch, Consumer<Boolean> then) {
+    state.commit(
+        txn,
+        true,
+        answer -> {
+          boolean written = batch.written(state, answer);
+          if (leader.ended()) {
             return;
-        }
-        wanted.keySet().removeIf(job -> !batch.holds(job.spec().id()));
-        reachBusy = true;
-        reachAgainAt = now + settings.reportS() / REACH_WRITES;
-        write(txn, batch, written -> {
-            reachBusy = false;
-            if (written) {
-                wanted.forEach(cluster::reached);
-                leader.act();
-            } else {
-                reachAgainAt = loop.now() + settings.reportS() / 10;
-            }
+          }
+          then.accept(written);
+          if (!written && answer.status() == 409) {
+            stillLeading(answer.json());
+          }
         });
-    }
+  }
 
-    private ObjectNode entry() {
-        return Json.object().put("At", loop.wallMs());
+  /** Puts the finished tasks of a job where they are new; the names of what changed. */
+  private Set<String> enter(Job job, BitSet now) {
+    Set<String> names = new LinkedHashSet<>();
+    BitSet news = (BitSet) now.clone();
+    news.andNot(job.savedTasks());
+    // Pieces of the usual length are what earlier versions read; of all but the largest jobs one
+    // holds all.
+    boolean shorter = shortPiece < PIECE && job.spec().tasks() > shortPiece;
+    int length = shorter ? shortPiece : PIECE;
+    for (int i = news.nextSetBit(0); i >= 0; i = news.nextSetBit((i / length + 1) * length)) {
+      int piece = i / length;
+      String name = name(job.spec().id(), piece);
+      String bits =
+          Base64.getEncoder()
+              .encodeToString(now.get(piece * length, (piece + 1) * length).toByteArray());
+      if (shorter) {
+        shortProgress.put(name, Json.object().put("Bits", bits).put("Piece", length));
+      } else {
+        progress.put(name, TextNode.valueOf(bits));
+      }
+      names.add(name);
     }
+    return names;
+  }
 
-    /**
-     * A machine gets tasks only once the state service knows that it may: a next leader must account for it. Of one
-     * whose reports stop, what it holds is written down instead, and it gets nothing until that is taken back. So
-     * should the leader change then, only these tasks must wait for the machine, and not all.
-     */
-    void saveRoster() {
-        if (rosterBusy || loop.now() < rosterAgainAt || !cluster.roster().due() && !roster.splitting()) {
-            return;
-        }
-        for (Machine m : roster.splitting() ? List.<Machine>of() : cluster.roster().takeFrozen()) {
-            ObjectNode entry = entry();
-            ArrayNode held = entry.putArray("Held");
-            m.attempts().forEach(a -> held.add(a.task().toString()));
-            roster.replace(m.id(), entry);
-        }
-        // Entries that are being moved are entered nowhere else meanwhile.
-        boolean splitting = roster.splitting();
-        List<Machine> added = splitting ? List.of() : cluster.roster().missing();
-        added.forEach(m -> roster.put(m.id(), entry()));
-        List<String> left = new ArrayList<>(cluster.roster().left());
-        left.forEach(roster::remove);
-        left.forEach(cluster.roster().left()::remove);
-        Txn txn = guarded();
-        Pages.Batch batch = roster.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
-        if (batch.isEmpty()) {
-            return;
-        }
-        List<Machine> entered = added.stream().filter(m -> batch.holds(m.id())).toList();
-        rosterBusy = true;
-        write(txn, batch, written -> {
-            rosterBusy = false;
-            if (written) {
-                cluster.roster().entered(entered);
-                leader.act();
-            } else {
-                rosterAgainAt = loop.now() + settings.reportS() / 10;
-            }
+  /**
+   * A task is launched only once the state service knows that tasks of its job up to it may have
+   * been. So a next leader that cannot find some machines still knows which tasks cannot be there.
+   * A job is written down with its first tasks, and then for twice as many each time.
+   */
+  void saveReach() {
+    double now = loop.now();
+    if (reachBusy || now < reachAgainAt || cluster.reaching().isEmpty()) {
+      return;
+    }
+    Map<Job, Integer> wanted = new LinkedHashMap<>();
+    for (Job job : cluster.reaching()) {
+      wanted.put(job, job.wantedReach());
+      reach.put(job.spec().id(), IntNode.valueOf(job.wantedReach()));
+    }
+    Txn txn = guarded();
+    Pages.Batch batch = reach.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+    if (batch.isEmpty()) {
+      return;
+    }
+    wanted.keySet().removeIf(job -> !batch.holds(job.spec().id()));
+    reachBusy = true;
+    reachAgainAt = now + settings.reportS() / REACH_WRITES;
+    write(
+        txn,
+        batch,
+        written -> {
+          reachBusy = false;
+          if (written) {
+            wanted.forEach(cluster::reached);
+            leader.act();
+          } else {
+            reachAgainAt = loop.now() + settings.reportS() / 10;
+          }
         });
+  }
+
+  private ObjectNode entry() {
+    return Json.object().put("At", loop.wallMs());
+  }
+
+  /**
+   * A machine gets tasks only once the state service knows that it may: a next leader must account
+   * for it. Of one whose reports stop, what it holds is written down instead, and it gets nothing
+   * until that is taken back. So should the leader change then, only these tasks must wait for the
+   * machine, and not all.
+   */
+  void saveRoster() {
+    if (rosterBusy
+        || loop.now() < rosterAgainAt
+        || !cluster.roster().due() && !roster.splitting()) {
+      return;
     }
+    for (Machine m : roster.splitting() ? List.<Machine>of() : cluster.roster().takeFrozen()) {
+      ObjectNode entry = entry();
+      ArrayNode held = entry.putArray("Held");
+      m.attempts().forEach(a -> held.add(a.task().toString()));
+      roster.replace(m.id(), entry);
+    }
+    // Entries that are being moved are entered nowhere else meanwhile.
+    boolean splitting = roster.splitting();
+    List<Machine> added = splitting ? List.of() : cluster.roster().missing();
+    added.forEach(m -> roster.put(m.id(), entry()));
+    List<String> left = new ArrayList<>(cluster.roster().left());
+    left.forEach(roster::remove);
+    left.forEach(cluster.roster().left()::remove);
+    Txn txn = guarded();
+    Pages.Batch batch = roster.addTo(txn, settings.txnOps(), MOST_TXN_BYTES);
+    if (batch.isEmpty()) {
+      return;
+    }
+    List<Machine> entered = added.stream().filter(m -> batch.holds(m.id())).toList();
+    rosterBusy = true;
+    write(
+        txn,
+        batch,
+        written -> {
+          rosterBusy = false;
+          if (written) {
+            cluster.roster().entered(entered);
+            leader.act();
+          } else {
+            rosterAgainAt = loop.now() + settings.reportS() / 10;
+          }
+        });
+  }
 }
--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -22,168 +22,195 @@
 
 /** What users ask of a node: to submit, to look, to cancel. Every node answers by itself. */
 final class UserApi {
-    private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
-    /** The soonest that the protocol lets a refused user come back. */
-    private static final int SOON_S = 1;
+  private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
 
-    /** What a job's record takes beside what its user sent. */
-    private static final int RECORD_BYTES = 128;
+  /** The soonest that the protocol lets a refused user come back. */
+  private static final int SOON_S = 1;
 
-    private final Loop loop;
-    private final Settings settings;
-    private final JobStore store;
-    private final Metrics metrics;
-    private final Supplier<Map<String, MachineType>> types;
-    private final Function<String, Progress> progress;
+  /** What a job's record takes beside what its user sent. */
+  private static final int RECORD_BYTES = 128;
 
-    UserApi(Loop loop, Settings settings, JobStore store, Metrics metrics,
-            Supplier<Map<String, MachineType>> types, Function<String, Progress> progress) {
-        this.loop = loop;
-        this.settings = settings;
-        this.store = store;
-        this.metrics = metrics;
-        this.types = types;
-        this.progress = progress;
-    }
+  private final Loop loop;
+  private final Settings settings;
+  private final JobStore store;
+  private final Metrics metrics;
+  private final Supplier<Map<String, MachineType>> types;
+  private final Function<String, Progress> progress;
 
-    void submit(Request request, Reply reply) {
-        double began = loop.now();
-        JsonNode body = request.json();
-        JobSpec job = null;
-        String problem = null;
-        int verdict = 400;
-        try {
-            if (body == null) {
-                throw new InvalidField("body", "is not JSON");
-            }
-            job = JobSpec.parse(body);
-            // The state service would refuse the whole transaction, and with it the submissions that share it.
-            if (Json.bytes(job.toJson()).length > settings.valueKb() * 1024 - RECORD_BYTES) {
-                throw new InvalidField("body", "is longer than what can be kept of a job");
-            }
-            if (types.get().isEmpty()) {
-                verdict = 503;
-                problem = "the machine types are not known yet";
-            } else {
-                problem = impossible(job);
-                verdict = 422;
+  UserApi(
+      Loop loop,
+      Settings settings,
+      JobStore store,
+      Metrics metrics,
+      Supplier<Map<String, MachineType>> types,
+      Function<String, Progress> progress) {
+    this.loop = loop;
+    this.settings = settings;
+    this.store = store;
+    this.metrics = metrics;
+    this.types = types;
+    this.progress = progress;
+  }
+
+  void submit(Request request, Reply reply) {
+    double began = loop.now();
+    JsonNode body = request.json();
+    JobSpec job = null;
+    String problem = null;
+    int verdict = 400;
+    try {
+      if (body == null) {
+        throw new InvalidField("body", "is not JSON");
+      }
+      job = JobSpec.parse(body);
+      // The state service would refuse the whole transaction, and with it the submissions that
+      // share it.
+      if (Json.bytes(job.toJson()).length > settings.valueKb() * 1024 - RECORD_BYTES) {
+        throw new InvalidField("body", "is longer than what can be kept of a job");
+      }
+      if (types.get().isEmpty()) {
+        verdict = 503;
+        problem = "the machine types are not known yet";
+      } else {
+        problem = impossible(job);
+        verdict = 422;
+      }
+    } catch (InvalidField e) {
+      problem = e.getMessage();
+    }
+    if (problem != null) {
+      refuse(body == null ? null : Json.text(body, "Uid"), verdict, problem, reply);
+      return;
+    }
+    String id = job.id();
+    store.accept(
+        job,
+        loop.wallMs(),
+        accepted -> {
+          switch (accepted) {
+            case NEW, NEW_UNPROVEN -> {
+              metrics.add(Metrics.Count.SUBMITTED, 1);
+              metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
+              if (accepted == Accepted.NEW) {
+                tell(id, Status.OPEN, 201, reply);
+              } else {
+                // One of them may be cancelled already: then so is this one, and must not be called
+                // anything else.
+                store.look(id, status -> tell(id, status, 201, reply));
+              }
             }
-        } catch (InvalidField e) {
-            problem = e.getMessage();
-        }
-        if (problem != null) {
-            refuse(body == null ? null : Json.text(body, "Uid"), verdict, problem, reply);
-            return;
-        }
-        String id = job.id();
-        store.accept(job, loop.wallMs(), accepted -> {
-            switch (accepted) {
-                case NEW, NEW_UNPROVEN -> {
-                    metrics.add(Metrics.Count.SUBMITTED, 1);
-                    metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
-                    if (accepted == Accepted.NEW) {
-                        tell(id, Status.OPEN, 201, reply);
-                    } else {
-                        // One of them may be cancelled already: then so is this one, and must not be called anything else.
-                        store.look(id, status -> tell(id, status, 201, reply));
-                    }
-                }
-                case KNOWN -> store.look(id, status -> {
-                    if (status == Status.ABSENT) {
+            case KNOWN ->
+                store.look(
+                    id,
+                    status -> {
+                      if (status == Status.ABSENT) {
                         unsure(reply);
-                    } else {
+                      } else {
                         tell(id, status, reply);
-                    }
-                });
-                case OVERLOADED -> busy(reply);
-                case MISSING -> refuse(id, 422, JobSpec.DEPENDENCIES + ": names a job that was never accepted", reply);
-                default -> unsure(reply);
-            }
+                      }
+                    });
+            case OVERLOADED -> busy(reply);
+            case MISSING ->
+                refuse(
+                    id, 422, JobSpec.DEPENDENCIES + ": names a job that was never accepted", reply);
+            default -> unsure(reply);
+          }
         });
-    }
+  }
 
-    /** Why a job can never run, or null. */
-    private String impossible(JobSpec job) {
-        Settings.Team team = settings.teams().get(job.team());
-        if (team == null) {
-            return "Crew: there is no such team";
-        }
-        if (types.get().values().stream().noneMatch(t -> t.fits(job))) {
-            return "a task fits no machine type that the job allows";
-        }
-        if (team.cpusMax() > 0 && job.cpus() > team.cpusMax() || team.gpusMax() > 0 && job.gpus() > team.gpusMax()) {
-            return "a task is beyond the limit of its team";
-        }
-        return null;
+  /** Why a job can never run, or null. */
+  private String impossible(JobSpec job) {
+    Settings.Team team = settings.teams().get(job.team());
+    if (team == null) {
+      return "Crew: there is no such team";
+    }
+    if (types.get().values().stream().noneMatch(t -> t.fits(job))) {
+      return "a task fits no machine type that the job allows";
+    }
+    if (team.cpusMax() > 0 && job.cpus() > team.cpusMax()
+        || team.gpusMax() > 0 && job.gpus() > team.gpusMax()) {
+      return "a task is beyond the limit of its team";
     }
+    return null;
+  }
 
-    /** A job that was accepted once stays accepted, whatever a later copy of its submission looks like. */
-    private void refuse(String id, int verdict, String problem, Reply reply) {
-        if (!JobSpec.isId(id)) {
-            reply.error(verdict, problem);
-            return;
-        }
-        store.look(id, status -> {
-            if (status == Status.ABSENT) {
-                if (verdict == 503) {
-                    reply.later(503, problem, SOON_S);
-                } else {
-                    reply.error(verdict, problem);
-                }
+  /**
+   * A job that was accepted once stays accepted, whatever a later copy of its submission looks
+   * like.
+   */
+  private void refuse(String id, int verdict, String problem, Reply reply) {
+    if (!JobSpec.isId(id)) {
+      reply.error(verdict, problem);
+      return;
+    }
+    store.look(
+        id,
+        status -> {
+          if (status == Status.ABSENT) {
+            if (verdict == 503) {
+              reply.later(503, problem, SOON_S);
             } else {
-                tell(id, status, reply);
+              reply.error(verdict, problem);
             }
-        });
-    }
-
-    void look(String id, Reply reply) {
-        double began = loop.now();
-        if (!JobSpec.isId(id)) {
-            reply.error(404, "no such job");
-            return;
-        }
-        store.look(id, status -> {
-            metrics.took(Metrics.Latency.POLL, loop.now() - began);
+          } else {
             tell(id, status, reply);
+          }
         });
-    }
+  }
 
-    void cancel(String id, Reply reply) {
-        if (!JobSpec.isId(id)) {
-            reply.error(404, "no such job");
-            return;
-        }
-        store.cancel(id, status -> tell(id, status, reply));
+  void look(String id, Reply reply) {
+    double began = loop.now();
+    if (!JobSpec.isId(id)) {
+      reply.error(404, "no such job");
+      return;
     }
+    store.look(
+        id,
+        status -> {
+          metrics.took(Metrics.Latency.POLL, loop.now() - began);
+          tell(id, status, reply);
+        });
+  }
 
-    private void tell(String id, Status status, Reply reply) {
-        tell(id, status, 200, reply);
+  void cancel(String id, Reply reply) {
+    if (!JobSpec.isId(id)) {
+      reply.error(404, "no such job");
+      return;
     }
+    store.cancel(id, status -> tell(id, status, reply));
+  }
 
-    private void tell(String id, Status status, int accepted, Reply reply) {
-        ObjectNode o = Json.object().put("Uid", id);
-        switch (status) {
-            case OPEN -> {
-                Progress p = progress.apply(id);
-                reply.json(accepted, o.put("Status", p.running() > 0 ? "running" : "pending").put("done", p.done())
-                        .put("running", p.running()));
-            }
-            case DONE -> reply.json(accepted, o.put("Status", "done"));
-            case CANCELLED -> reply.json(accepted, o.put("Status", "aborted"));
-            case ABSENT -> reply.error(404, "no such job");
-            default -> unsure(reply);
-        }
-    }
+  private void tell(String id, Status status, Reply reply) {
+    tell(id, status, 200, reply);
+  }
 
-    private void unsure(Reply reply) {
-        LOG.debug("refused: the state service does not answer, or the request budget is spent");
-        metrics.add(Metrics.Count.REFUSED, 1);
-        reply.later(503, "the state service does not answer", SOON_S);
+  private void tell(String id, Status status, int accepted, Reply reply) {
+    ObjectNode o = Json.object().put("Uid", id);
+    switch (status) {
+      case OPEN -> {
+        Progress p = progress.apply(id);
+        reply.json(
+            accepted,
+            o.put("Status", p.running() > 0 ? "running" : "pending")
+                .put("done", p.done())
+                .put("running", p.running()));
+      }
+      case DONE -> reply.json(accepted, o.put("Status", "done"));
+      case CANCELLED -> reply.json(accepted, o.put("Status", "aborted"));
+      case ABSENT -> reply.error(404, "no such job");
+      default -> unsure(reply);
     }
+  }
 
-    void busy(Reply reply) {
-        LOG.debug("refused: overloaded");
-        metrics.add(Metrics.Count.REFUSED, 1);
-        reply.later(429, "too many requests", SOON_S);
-    }
+  private void unsure(Reply reply) {
+    LOG.debug("refused: the state service does not answer, or the request budget is spent");
+    metrics.add(Metrics.Count.REFUSED, 1);
+    reply.later(503, "the state service does not answer", SOON_S);
+  }
+
+  void busy(Reply reply) {
+    LOG.debug("refused: overloaded");
+    metrics.add(Metrics.Count.REFUSED, 1);
+    reply.later(429, "too many requests", SOON_S);
+  }
 }
--- a/src/main/java/org/saffronshore/fleet/FleetPlan.java
+++ b/src/main/java/org/saffronshore/fleet/FleetPlan.java
@@ -15,117 +15,126 @@
 /** Works out what to rent for the tasks that found no place. A pure function. */
 public final class FleetPlan {
 
-    /** A machine that the plan adds. */
-    private static final class Bin {
-        final Kind kind;
-        final Room room;
+  /** A machine that the plan adds. */
+  private static final class Bin {
+    final Kind kind;
+    final Room room;
 
-        Bin(Kind kind, MachineType type) {
-            this.kind = kind;
-            this.room = Room.of(type);
-        }
+    Bin(Kind kind, MachineType type) {
+      this.kind = kind;
+      this.room = Room.of(type);
+    }
 
-        /** Takes as many tasks of a job as it has room for; how many. */
-        int fill(JobSpec job, int most) {
-            int taken = 0;
-            while (taken < most && room.fits(job) && kind.allows(job)) {
-                room.take(job);
-                taken++;
-            }
-            return taken;
-        }
+    /** Takes as many tasks of a job as it has room for; how many. */
+    int fill(JobSpec job, int most) {
+      int taken = 0;
+      while (taken < most && room.fits(job) && kind.allows(job)) {
+        room.take(job);
+        taken++;
+      }
+      return taken;
     }
+  }
 
-    private final Map<String, MachineType> types;
-    private final Predicate<Kind> available;
-    private final Map<String, Integer> perZone;
-    private final List<Bin> bins = new ArrayList<>();
-    private final Map<Kind, Integer> orders = new LinkedHashMap<>();
+  private final Map<String, MachineType> types;
+  private final Predicate<Kind> available;
+  private final Map<String, Integer> perZone;
+  private final List<Bin> bins = new ArrayList<>();
+  private final Map<Kind, Integer> orders = new LinkedHashMap<>();
 
-    private FleetPlan(Map<String, MachineType> types, Predicate<Kind> available, Map<String, Integer> perZone) {
-        this.types = types;
-        this.available = available;
-        this.perZone = new HashMap<>(perZone);
-    }
+  private FleetPlan(
+      Map<String, MachineType> types, Predicate<Kind> available, Map<String, Integer> perZone) {
+    this.types = types;
+    this.available = available;
+    this.perZone = new HashMap<>(perZone);
+  }
 
-    /**
-     * @param perZone how many machines each zone has, so that new ones go where there are fewest
-     * @param available whether the cloud is thought to have machines of a kind
-     */
-    public static Map<Kind, Integer> orders(Map<String, MachineType> types, List<Plan.Unmet> unmet,
-            Map<String, Integer> perZone, Predicate<Kind> available) {
-        FleetPlan plan = new FleetPlan(types, available, perZone);
-        // Large tasks first: small ones then fill the gaps, and fewer machines do.
-        List<Plan.Unmet> groups = new ArrayList<>(unmet);
-        groups.sort(Comparator.comparingDouble((Plan.Unmet u) -> -u.job().cpus()));
-        for (int i = 0; i < groups.size(); i++) {
-            plan.add(groups, i);
-        }
-        return plan.orders;
+  /**
+   * @param perZone how many machines each zone has, so that new ones go where there are fewest
+   * @param available whether the cloud is thought to have machines of a kind
+   */
+  public static Map<Kind, Integer> orders(
+      Map<String, MachineType> types,
+      List<Plan.Unmet> unmet,
+      Map<String, Integer> perZone,
+      Predicate<Kind> available) {
+    FleetPlan plan = new FleetPlan(types, available, perZone);
+    // Large tasks first: small ones then fill the gaps, and fewer machines do.
+    List<Plan.Unmet> groups = new ArrayList<>(unmet);
+    groups.sort(Comparator.comparingDouble((Plan.Unmet u) -> -u.job().cpus()));
+    for (int i = 0; i < groups.size(); i++) {
+      plan.add(groups, i);
     }
+    return plan.orders;
+  }
 
-    private void add(List<Plan.Unmet> groups, int index) {
-        JobSpec job = groups.get(index).job();
-        int left = groups.get(index).tasks();
-        for (Bin bin : bins) {
-            left -= bin.fill(job, left);
-        }
-        while (left > 0) {
-            Kind kind = cheapest(groups, index, left);
-            if (kind == null) {
-                return;
-            }
-            Bin bin = new Bin(kind, types.get(kind.type()));
-            left -= bin.fill(job, left);
-            bins.add(bin);
-            orders.merge(kind, 1, Integer::sum);
-            perZone.merge(kind.zone(), 1, Integer::sum);
-        }
+  private void add(List<Plan.Unmet> groups, int index) {
+    JobSpec job = groups.get(index).job();
+    int left = groups.get(index).tasks();
+    for (Bin bin : bins) {
+      left -= bin.fill(job, left);
+    }
+    while (left > 0) {
+      Kind kind = cheapest(groups, index, left);
+      if (kind == null) {
+        return;
+      }
+      Bin bin = new Bin(kind, types.get(kind.type()));
+      left -= bin.fill(job, left);
+      bins.add(bin);
+      orders.merge(kind, 1, Integer::sum);
+      perZone.merge(kind.zone(), 1, Integer::sum);
     }
+  }
 
-    /** The kind with the lowest price for what it would hold of the tasks that are left, from this group on. */
-    private Kind cheapest(List<Plan.Unmet> groups, int index, int left) {
-        JobSpec job = groups.get(index).job();
-        Kind best = null;
-        double bestScore = Double.POSITIVE_INFINITY;
-        for (MachineType type : types.values()) {
-            if (!type.fits(job)) {
-                continue;
-            }
-            for (int spot = 0; spot < 2; spot++) {
-                Kind kind = zoneFor(type, spot == 1, job);
-                if (kind == null) {
-                    continue;
-                }
-                double price = kind.spot() ? type.spotPrice() : type.price();
-                double score = price / held(new Bin(kind, type), groups, index, left);
-                if (score < bestScore) {
-                    best = kind;
-                    bestScore = score;
-                }
-            }
+  /**
+   * The kind with the lowest price for what it would hold of the tasks that are left, from this
+   * group on.
+   */
+  private Kind cheapest(List<Plan.Unmet> groups, int index, int left) {
+    JobSpec job = groups.get(index).job();
+    Kind best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (MachineType type : types.values()) {
+      if (!type.fits(job)) {
+        continue;
+      }
+      for (int spot = 0; spot < 2; spot++) {
+        Kind kind = zoneFor(type, spot == 1, job);
+        if (kind == null) {
+          continue;
+        }
+        double price = kind.spot() ? type.spotPrice() : type.price();
+        double score = price / held(new Bin(kind, type), groups, index, left);
+        if (score < bestScore) {
+          best = kind;
+          bestScore = score;
         }
-        return best;
+      }
     }
+    return best;
+  }
 
-    private static double held(Bin bin, List<Plan.Unmet> groups, int index, int left) {
-        double cpus = 0;
-        for (int i = index; i < groups.size() && bin.room.cpus > 1e-6; i++) {
-            JobSpec job = groups.get(i).job();
-            cpus += bin.fill(job, i == index ? left : groups.get(i).tasks()) * Math.max(job.cpus(), 1e-3);
-        }
-        return cpus;
+  private static double held(Bin bin, List<Plan.Unmet> groups, int index, int left) {
+    double cpus = 0;
+    for (int i = index; i < groups.size() && bin.room.cpus > 1e-6; i++) {
+      JobSpec job = groups.get(i).job();
+      cpus += bin.fill(job, i == index ? left : groups.get(i).tasks()) * Math.max(job.cpus(), 1e-3);
     }
+    return cpus;
+  }
 
-    private Kind zoneFor(MachineType type, boolean spot, JobSpec job) {
-        Kind best = null;
-        for (String zone : type.zones()) {
-            Kind kind = new Kind(type.name(), zone, spot);
-            if (kind.allows(job) && available.test(kind) && (best == null
-                    || perZone.getOrDefault(zone, 0) < perZone.getOrDefault(best.zone(), 0))) {
-                best = kind;
-            }
-        }
-        return best;
+  private Kind zoneFor(MachineType type, boolean spot, JobSpec job) {
+    Kind best = null;
+    for (String zone : type.zones()) {
+      Kind kind = new Kind(type.name(), zone, spot);
+      if (kind.allows(job)
+          && available.test(kind)
+          && (best == null
+              || perZone.getOrDefault(zone, 0) < perZone.getOrDefault(best.zone(), 0))) {
+        best = kind;
+      }
     }
+    return best;
+  }
 }
--- a/src/main/java/org/saffronshore/fleet/Kind.java
+++ b/src/main/java/org/saffronshore/fleet/Kind.java
@@ -4,14 +4,15 @@
 
 /** What a rental request names: a machine type, a zone, and whether it may be taken back. */
 public record Kind(String type, String zone, boolean spot) {
-    /** Whether the job may use machines of this kind. */
-    public boolean allows(JobSpec job) {
-        return (!spot || job.spot()) && (job.types() == null || job.types().contains(type))
-                && (job.zone() == null || job.zone().equals(zone));
-    }
+  /** Whether the job may use machines of this kind. */
+  public boolean allows(JobSpec job) {
+    return (!spot || job.spot())
+        && (job.types() == null || job.types().contains(type))
+        && (job.zone() == null || job.zone().equals(zone));
+  }
 
-    @Override
-    public String toString() {
-        return (spot ? "spot " : "ordinary ") + type + " in " + zone;
-    }
+  @Override
+  public String toString() {
+    return (spot ? "spot " : "ordinary ") + type + " in " + zone;
+  }
 }
--- a/src/main/java/org/saffronshore/http/Answer.java
+++ b/src/main/java/org/saffronshore/http/Answer.java
@@ -4,28 +4,28 @@
 import org.saffronshore.wire.Json;
 
 /**
- * What became of a request of ours. A request that was not sent cannot take effect; one that was lost may have
- * taken effect, or may yet do so at any later time.
+ * What became of a request of ours. A request that was not sent cannot take effect; one that was
+ * lost may have taken effect, or may yet do so at any later time.
  */
 public record Answer(int status, byte[] body) {
-    public static final Answer NOT_SENT = new Answer(-1, new byte[0]);
-    public static final Answer LOST = new Answer(0, new byte[0]);
+  public static final Answer NOT_SENT = new Answer(-1, new byte[0]);
+  public static final Answer LOST = new Answer(0, new byte[0]);
 
-    /** Receives the answer on the loop. */
-    @FunctionalInterface
-    public interface Receiver {
-        void receive(Answer answer);
-    }
+  /** Receives the answer on the loop. */
+  @FunctionalInterface
+  public interface Receiver {
+    void receive(Answer answer);
+  }
 
-    public boolean ok() {
-        return status == 200;
-    }
+  public boolean ok() {
+    return status == 200;
+  }
 
-    public boolean lost() {
-        return status == 0;
-    }
+  public boolean lost() {
+    return status == 0;
+  }
 
-    public JsonNode json() {
-        return Json.parse(body);
-    }
+  public JsonNode json() {
+    return Json.parse(body);
+  }
 }
--- a/src/main/java/org/saffronshore/http/Client.java
+++ b/src/main/java/org/saffronshore/http/Client.java
@@ -5,5 +5,11 @@
 /** Sends requests. The receiver is called exactly once, on the loop. */
 public interface Client {
 
-    void send(Address to, String method, String path, byte[] body, double timeoutS, Answer.Receiver receiver);
+  void send(
+      Address to,
+      String method,
+      String path,
+      byte[] body,
+      double timeoutS,
+      Answer.Receiver receiver);
 }
--- a/src/main/java/org/saffronshore/http/HttpClient.java
+++ b/src/main/java/org/saffronshore/http/HttpClient.java
@@ -29,188 +29,220 @@
 import org.saffronshore.config.Settings.Address;
 
 /**
- * A client that keeps idle connections for reuse. A connection carries one request at a time; after a time-out it
- * is closed, and the request counts as lost.
+ * A client that keeps idle connections for reuse. A connection carries one request at a time; after
+ * a time-out it is closed, and the request counts as lost.
  */
 public final class HttpClient implements Client {
-    /** Watches of the state service have no size limit; this bounds what a node takes into memory. */
-    private static final int MOST_ANSWER = 16 * 1024 * 1024;
-
-    /** Idle connections are closed after this time: machines come and go, and one that is gone closes nothing. */
-    public static final double IDLE_S = 30;
-
-    private record Kept(Address to, Channel channel, Loop.Timer timer) {}
-
-    private final Loop loop;
-    private final Sockets sockets;
-    private final double idleS;
-    private final Bootstrap bootstrap;
-    private final Map<Address, ArrayDeque<Kept>> idle = new HashMap<>();
-    /** All of them, the one that has been idle for longest first. */
-    private final Set<Kept> oldest = new LinkedHashSet<>();
-
-    public HttpClient(Loop loop, IoEventLoopGroup group, Sockets sockets, double idleS) {
-        this.loop = loop;
-        this.idleS = idleS;
-        this.sockets = sockets;
-        this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER));
-                    }
+  /** Watches of the state service have no size limit; this bounds what a node takes into memory. */
+  private static final int MOST_ANSWER = 16 * 1024 * 1024;
+
+  /**
+   * Idle connections are closed after this time: machines come and go, and one that is gone closes
+   * nothing.
+   */
+  public static final double IDLE_S = 30;
+
+  private record Kept(Address to, Channel channel, Loop.Timer timer) {}
+
+  private final Loop loop;
+  private final Sockets sockets;
+  private final double idleS;
+  private final Bootstrap bootstrap;
+  private final Map<Address, ArrayDeque<Kept>> idle = new HashMap<>();
+
+  /** All of them, the one that has been idle for longest first. */
+  private final Set<Kept> oldest = new LinkedHashSet<>();
+
+  public HttpClient(Loop loop, IoEventLoopGroup group, Sockets sockets, double idleS) {
+    this.loop = loop;
+    this.idleS = idleS;
+    this.sockets = sockets;
+    this.bootstrap =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline()
+                        .addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER));
+                  }
                 });
+  }
+
+  @Override
+  public void send(
+      Address to,
+      String method,
+      String path,
+      byte[] body,
+      double timeoutS,
+      Answer.Receiver receiver) {
+    Exchange exchange = new Exchange(to, method, path, body, timeoutS, receiver);
+    Channel kept = reuse(to);
+    if (kept != null) {
+      exchange.start(kept);
+      return;
     }
-
-    @Override
-    public void send(Address to, String method, String path, byte[] body, double timeoutS, Answer.Receiver receiver) {
-        Exchange exchange = new Exchange(to, method, path, body, timeoutS, receiver);
-        Channel kept = reuse(to);
-        if (kept != null) {
-            exchange.start(kept);
-            return;
-        }
-        if (!sockets.take() && !(closeOldest() && sockets.take())) {
-            loop.soon(exchange::fail);
-            return;
-        }
-        ChannelFuture connecting = bootstrap.connect(to.host(), to.port());
-        exchange.connecting = connecting.channel();
-        connecting.channel().closeFuture().addListener(c -> sockets.release());
-        connecting.addListener(f -> {
-            if (f.isSuccess() && !exchange.over) {
-                exchange.start(connecting.channel());
-            } else {
-                connecting.channel().close();
-                exchange.fail();
-            }
+    if (!sockets.take() && !(closeOldest() && sockets.take())) {
+      loop.soon(exchange::fail);
+      return;
+    }
+    ChannelFuture connecting = bootstrap.connect(to.host(), to.port());
+    exchange.connecting = connecting.channel();
+    connecting.channel().closeFuture().addListener(c -> sockets.release());
+    connecting.addListener(
+        f -> {
+          if (f.isSuccess() && !exchange.over) {
+            exchange.start(connecting.channel());
+          } else {
+            connecting.channel().close();
+            exchange.fail();
+          }
         });
+  }
+
+  private Channel reuse(Address to) {
+    ArrayDeque<Kept> waiting = idle.get(to);
+    while (waiting != null && !waiting.isEmpty()) {
+      Kept last = waiting.peekLast();
+      forget(last);
+      if (last.channel.isActive()) {
+        return last.channel;
+      }
     }
-
-    private Channel reuse(Address to) {
-        ArrayDeque<Kept> waiting = idle.get(to);
-        while (waiting != null && !waiting.isEmpty()) {
-            Kept last = waiting.peekLast();
-            forget(last);
-            if (last.channel.isActive()) {
-                return last.channel;
-            }
-        }
-        return null;
+    return null;
+  }
+
+  private void keep(Address to, Channel channel) {
+    Kept[] kept = new Kept[1];
+    kept[0] = new Kept(to, channel, loop.after(idleS, () -> close(kept[0])));
+    idle.computeIfAbsent(to, a -> new ArrayDeque<>(2)).addLast(kept[0]);
+    oldest.add(kept[0]);
+  }
+
+  private void forget(Kept kept) {
+    kept.timer.cancel();
+    oldest.remove(kept);
+    ArrayDeque<Kept> waiting = idle.get(kept.to);
+    if (waiting != null && waiting.remove(kept) && waiting.isEmpty()) {
+      idle.remove(kept.to);
     }
-
-    private void keep(Address to, Channel channel) {
-        Kept[] kept = new Kept[1];
-        kept[0] = new Kept(to, channel, loop.after(idleS, () -> close(kept[0])));
-        idle.computeIfAbsent(to, a -> new ArrayDeque<>(2)).addLast(kept[0]);
-        oldest.add(kept[0]);
+  }
+
+  private void close(Kept kept) {
+    forget(kept);
+    kept.channel.close();
+  }
+
+  /**
+   * With many machines, connections that are kept for later must not stand in the way of what is
+   * due now.
+   */
+  private boolean closeOldest() {
+    if (oldest.isEmpty()) {
+      return false;
     }
-
-    private void forget(Kept kept) {
-        kept.timer.cancel();
-        oldest.remove(kept);
-        ArrayDeque<Kept> waiting = idle.get(kept.to);
-        if (waiting != null && waiting.remove(kept) && waiting.isEmpty()) {
-            idle.remove(kept.to);
-        }
+    close(oldest.iterator().next());
+    return true;
+  }
+
+  private final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final Address to;
+    private final String method;
+    private final String path;
+    private final byte[] body;
+    private final Answer.Receiver receiver;
+    private final double until;
+    private final Loop.Timer timer;
+    private Channel connecting;
+    private Channel channel;
+    private boolean over;
+
+    Exchange(
+        Address to,
+        String method,
+        String path,
+        byte[] body,
+        double timeoutS,
+        Answer.Receiver receiver) {
+      this.to = to;
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.receiver = receiver;
+      this.until = loop.now() + timeoutS;
+      this.timer = loop.after(timeoutS, this::fail);
     }
 
-    private void close(Kept kept) {
-        forget(kept);
-        kept.channel.close();
+    void start(Channel ch) {
+      channel = ch;
+      ch.pipeline().addLast(this);
+      var request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1,
+              HttpMethod.valueOf(method),
+              path,
+              body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+      request.headers().set(HttpHeaderNames.HOST, to.toString());
+      if (body != null) {
+        request.headers().set(HttpHeaderNames.CONTENT_TYPE, Reply.JSON);
+        request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+      }
+      ch.writeAndFlush(request);
     }
 
-    /** With many machines, connections that are kept for later must not stand in the way of what is due now. */
-    private boolean closeOldest() {
-        if (oldest.isEmpty()) {
-            return false;
-        }
-        close(oldest.iterator().next());
-        return true;
+    /** Once the channel had the request, nobody can tell whether the other side will see it. */
+    void fail() {
+      finish(channel == null ? Answer.NOT_SENT : Answer.LOST, true);
     }
 
-    private final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final Address to;
-        private final String method;
-        private final String path;
-        private final byte[] body;
-        private final Answer.Receiver receiver;
-        private final double until;
-        private final Loop.Timer timer;
-        private Channel connecting;
-        private Channel channel;
-        private boolean over;
-
-        Exchange(Address to, String method, String path, byte[] body, double timeoutS, Answer.Receiver receiver) {
-            this.to = to;
-            this.method = method;
-            this.path = path;
-            this.body = body;
-            this.receiver = receiver;
-            this.until = loop.now() + timeoutS;
-            this.timer = loop.after(timeoutS, this::fail);
-        }
-
-        void start(Channel ch) {
-            channel = ch;
-            ch.pipeline().addLast(this);
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path,
-                    body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
-            request.headers().set(HttpHeaderNames.HOST, to.toString());
-            if (body != null) {
-                request.headers().set(HttpHeaderNames.CONTENT_TYPE, Reply.JSON);
-                request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-            }
-            ch.writeAndFlush(request);
-        }
-
-        /** Once the channel had the request, nobody can tell whether the other side will see it. */
-        void fail() {
-            finish(channel == null ? Answer.NOT_SENT : Answer.LOST, true);
-        }
-
-        private void finish(Answer answer, boolean close) {
-            if (over) {
-                return;
-            }
-            over = true;
-            timer.cancel();
-            if (channel == null) {
-                // A machine without power never answers; the attempt to reach it must not hold its socket for longer.
-                if (connecting != null) {
-                    connecting.close();
-                }
-            } else if (close) {
-                channel.close();
-            } else {
-                channel.pipeline().remove(this);
-                keep(to, channel);
-            }
-            receiver.receive(answer);
+    private void finish(Answer answer, boolean close) {
+      if (over) {
+        return;
+      }
+      over = true;
+      timer.cancel();
+      if (channel == null) {
+        // A machine without power never answers; the attempt to reach it must not hold its socket
+        // for longer.
+        if (connecting != null) {
+          connecting.close();
         }
+      } else if (close) {
+        channel.close();
+      } else {
+        channel.pipeline().remove(this);
+        keep(to, channel);
+      }
+      receiver.receive(answer);
+    }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            // After a standstill of this process the network is read before timers fire: what was answered long ago
-            // must not be taken for news.
-            if (response.decoderResult().isFailure() || loop.now() > until) {
-                fail();
-                return;
-            }
-            finish(new Answer(response.status().code(), ByteBufUtil.getBytes(response.content())),
-                    !HttpUtil.isKeepAlive(response));
-        }
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      // After a standstill of this process the network is read before timers fire: what was
+      // answered long ago
+      // must not be taken for news.
+      if (response.decoderResult().isFailure() || loop.now() > until) {
+        fail();
+        return;
+      }
+      finish(
+          new Answer(response.status().code(), ByteBufUtil.getBytes(response.content())),
+          !HttpUtil.isKeepAlive(response));
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            fail();
-        }
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      fail();
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            fail();
-        }
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      fail();
     }
+  }
 }
--- a/src/main/java/org/saffronshore/http/NettyLoop.java
+++ b/src/main/java/org/saffronshore/http/NettyLoop.java
@@ -10,35 +10,36 @@
 
 /** The event loop of a running node. */
 public final class NettyLoop implements Loop {
-    private static final Logger LOG = LoggerFactory.getLogger(NettyLoop.class);
-    private final IoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+  private static final Logger LOG = LoggerFactory.getLogger(NettyLoop.class);
+  private final IoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
 
-    public IoEventLoopGroup group() {
-        return group;
-    }
+  public IoEventLoopGroup group() {
+    return group;
+  }
 
-    @Override
-    public double now() {
-        return System.nanoTime() / 1e9;
-    }
+  @Override
+  public double now() {
+    return System.nanoTime() / 1e9;
+  }
 
-    @Override
-    public Timer after(double seconds, Runnable action) {
-        Runnable guarded = () -> run(action);
-        if (seconds <= 0) {
-            loop.execute(guarded);
-            return () -> { };
-        }
-        var future = loop.schedule(guarded, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
-        return () -> future.cancel(false);
+  @Override
+  public Timer after(double seconds, Runnable action) {
+    Runnable guarded = () -> run(action);
+    if (seconds <= 0) {
+      loop.execute(guarded);
+      return () -> {};
     }
+    var future = loop.schedule(guarded, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
+    return () -> future.cancel(false);
+  }
 
-    private static void run(Runnable action) {
-        try {
-            action.run();
-        } catch (RuntimeException e) {
-            LOG.error("an action of the loop failed", e);
-        }
+  private static void run(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.error("an action of the loop failed", e);
     }
+  }
 }
--- a/src/main/java/org/saffronshore/http/Request.java
+++ b/src/main/java/org/saffronshore/http/Request.java
@@ -6,11 +6,11 @@
 /** A request as its handler sees it; {@code body} is null when it was longer than a body may be. */
 public record Request(String method, String path, byte[] body) {
 
-    public JsonNode json() {
-        return body == null ? null : Json.parse(body);
-    }
+  public JsonNode json() {
+    return body == null ? null : Json.parse(body);
+  }
 
-    public boolean is(String wantedMethod) {
-        return method.equals(wantedMethod);
-    }
+  public boolean is(String wantedMethod) {
+    return method.equals(wantedMethod);
+  }
 }
--- a/src/main/java/org/saffronshore/http/Sockets.java
+++ b/src/main/java/org/saffronshore/http/Sockets.java
@@ -1,35 +1,41 @@
 package org.saffronshore.http;
 
-/** How many connections some part of a node may hold, out of the sockets that the platform lets it have. */
+/**
+ * How many connections some part of a node may hold, out of the sockets that the platform lets it
+ * have.
+ */
 public final class Sockets {
-    /** Beyond this share of them connections are closed after each answer, so that there is always one to be had. */
-    private static final double KEPT_SHARE = 0.85;
+  /**
+   * Beyond this share of them connections are closed after each answer, so that there is always one
+   * to be had.
+   */
+  private static final double KEPT_SHARE = 0.85;
 
-    private final int most;
-    private int taken;
+  private final int most;
+  private int taken;
 
-    public Sockets(int most) {
-        this.most = most;
-    }
+  public Sockets(int most) {
+    this.most = most;
+  }
 
-    public boolean take() {
-        if (taken >= most) {
-            return false;
-        }
-        taken++;
-        return true;
+  public boolean take() {
+    if (taken >= most) {
+      return false;
     }
+    taken++;
+    return true;
+  }
 
-    public void release() {
-        taken--;
-    }
+  public void release() {
+    taken--;
+  }
 
-    /** Whether so few are left that connections should not be kept open between requests. */
-    public boolean scarce() {
-        return taken > most * KEPT_SHARE;
-    }
+  /** Whether so few are left that connections should not be kept open between requests. */
+  public boolean scarce() {
+    return taken > most * KEPT_SHARE;
+  }
 
-    public int taken() {
-        return taken;
-    }
+  public int taken() {
+    return taken;
+  }
 }
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -16,338 +16,384 @@
 
 /**
  * One scheduling cycle: Armada's progressive filling over teams, with packing per team, and with
- * evict-reschedule-stop. A pure function of the view and the seed; it changes only the scratch objects given to it.
+ * evict-reschedule-stop. A pure function of the view and the seed; it changes only the scratch
+ * objects given to it.
  */
 public final class Cycle {
 
-    /** A queue entry: a pending job, or one evicted task that may only return to its own host. */
-    private record Entry(Pending pending, Slot evicted, Host home) {
-        JobSpec job() {
-            return evicted != null ? evicted.job() : pending.job;
-        }
+  /** A queue entry: a pending job, or one evicted task that may only return to its own host. */
+  private record Entry(Pending pending, Slot evicted, Host home) {
+    JobSpec job() {
+      return evicted != null ? evicted.job() : pending.job;
+    }
 
-        boolean overdue() {
-            return pending != null && pending.isOverdue();
-        }
+    boolean overdue() {
+      return pending != null && pending.isOverdue();
     }
+  }
 
-    private final Collection<Host> hosts;
-    private final Map<String, Team> teams;
-    private final Tuning tuning;
-    private final Map<String, List<Entry>> queues = new LinkedHashMap<>();
-    private final List<Plan.Placement> placements = new ArrayList<>();
-    private final List<Plan.Stop> stops = new ArrayList<>();
-    private final Map<Pending, Integer> unmet = new LinkedHashMap<>();
-    private final double now;
-    private final Failures failures = new Failures();
+  private final Collection<Host> hosts;
+  private final Map<String, Team> teams;
+  private final Tuning tuning;
+  private final Map<String, List<Entry>> queues = new LinkedHashMap<>();
+  private final List<Plan.Placement> placements = new ArrayList<>();
+  private final List<Plan.Stop> stops = new ArrayList<>();
+  private final Map<Pending, Integer> unmet = new LinkedHashMap<>();
+  private final double now;
+  private final Failures failures = new Failures();
 
-    private Cycle(Collection<Host> hosts, Map<String, Team> teams, Tuning tuning, double now) {
-        this.hosts = hosts;
-        this.teams = teams;
-        this.tuning = tuning;
-        this.now = now;
-    }
+  private Cycle(Collection<Host> hosts, Map<String, Team> teams, Tuning tuning, double now) {
+    this.hosts = hosts;
+    this.teams = teams;
+    this.tuning = tuning;
+    this.now = now;
+  }
 
-    /** Runs a cycle; only one with {@code evict} reconsiders tasks that are running. */
-    public static Plan run(Collection<Host> hosts, Collection<Pending> jobs, Map<String, Team> teams, Tuning tuning,
-            boolean evict, RandomGenerator random, double now) {
-        Cycle cycle = new Cycle(hosts, teams, tuning, now);
-        cycle.queue(jobs);
-        if (evict) {
-            cycle.evict(random);
-        }
-        cycle.fill();
-        List<Plan.Unmet> left = new ArrayList<>();
-        cycle.unmet.forEach((p, n) -> left.add(new Plan.Unmet(p.job, n)));
-        return new Plan(cycle.placements, cycle.stops, left);
+  /** Runs a cycle; only one with {@code evict} reconsiders tasks that are running. */
+  public static Plan run(
+      Collection<Host> hosts,
+      Collection<Pending> jobs,
+      Map<String, Team> teams,
+      Tuning tuning,
+      boolean evict,
+      RandomGenerator random,
+      double now) {
+    Cycle cycle = new Cycle(hosts, teams, tuning, now);
+    cycle.queue(jobs);
+    if (evict) {
+      cycle.evict(random);
     }
+    cycle.fill();
+    List<Plan.Unmet> left = new ArrayList<>();
+    cycle.unmet.forEach((p, n) -> left.add(new Plan.Unmet(p.job, n)));
+    return new Plan(cycle.placements, cycle.stops, left);
+  }
 
-    private void queue(Collection<Pending> jobs) {
-        List<Pending> ordered = new ArrayList<>(jobs);
-        ordered.sort(Comparator.comparing((Pending p) -> !p.isOverdue())
-                .thenComparing(p -> -p.job.priority().ordinal()).thenComparing(p -> p.order));
-        for (Pending p : ordered) {
-            if (!p.isEmpty() && teams.containsKey(p.job.team())) {
-                queues.computeIfAbsent(p.job.team(), t -> new ArrayList<>()).add(new Entry(p, null, null));
-            }
-        }
+  private void queue(Collection<Pending> jobs) {
+    List<Pending> ordered = new ArrayList<>(jobs);
+    ordered.sort(
+        Comparator.comparing((Pending p) -> !p.isOverdue())
+            .thenComparing(p -> -p.job.priority().ordinal())
+            .thenComparing(p -> p.order));
+    for (Pending p : ordered) {
+      if (!p.isEmpty() && teams.containsKey(p.job.team())) {
+        queues.computeIfAbsent(p.job.team(), t -> new ArrayList<>()).add(new Entry(p, null, null));
+      }
     }
+  }
 
-    /**
-     * Takes preemptible tasks off their hosts, in memory only. The protocol is narrower than the paper here: among
-     * equals, only what a team runs beyond its guarantee may be stopped, and only to give another its guarantee.
-     */
-    private void evict(RandomGenerator random) {
-        Set<String> starved = new HashSet<>();
-        queues.forEach((name, queue) -> {
-            Team team = teams.get(name);
-            if (queue.stream().anyMatch(e -> team.withinGuarantee(e.job()))) {
-                starved.add(name);
-            }
+  /**
+   * Takes preemptible tasks off their hosts, in memory only. The protocol is narrower than the
+   * paper here: among equals, only what a team runs beyond its guarantee may be stopped, and only
+   * to give another its guarantee.
+   */
+  private void evict(RandomGenerator random) {
+    Set<String> starved = new HashSet<>();
+    queues.forEach(
+        (name, queue) -> {
+          Team team = teams.get(name);
+          if (queue.stream().anyMatch(e -> team.withinGuarantee(e.job()))) {
+            starved.add(name);
+          }
         });
-        if (starved.isEmpty()) {
-            return;
-        }
-        Set<String> touched = new HashSet<>();
-        for (Host host : hosts) {
-            if (random.nextDouble() >= tuning.evictionProbability()) {
-                continue;
-            }
-            for (Slot slot : List.copyOf(host.slots)) {
-                Team owner = teams.get(slot.job().team());
-                if (owner == null || starved.contains(slot.job().team()) || !owner.beyondGuarantee(slot.job())) {
-                    continue;
-                }
-                host.leave(slot);
-                owner.share(slot.job(), tuning, -1);
-                queues.computeIfAbsent(slot.job().team(), t -> new ArrayList<>()).add(0, new Entry(null, slot, host));
-                touched.add(slot.job().team());
-            }
-        }
-        sortByClass(touched);
+    if (starved.isEmpty()) {
+      return;
     }
-
-    /** Evicted tasks head their queues, in each class. */
-    private void sortByClass(Set<String> names) {
-        for (String name : names) {
-            queues.get(name).sort(Comparator.comparing((Entry e) -> !e.overdue())
-                    .thenComparingInt(e -> -e.job().priority().ordinal()));
+    Set<String> touched = new HashSet<>();
+    for (Host host : hosts) {
+      if (random.nextDouble() >= tuning.evictionProbability()) {
+        continue;
+      }
+      for (Slot slot : List.copyOf(host.slots)) {
+        Team owner = teams.get(slot.job().team());
+        if (owner == null
+            || starved.contains(slot.job().team())
+            || !owner.beyondGuarantee(slot.job())) {
+          continue;
         }
+        host.leave(slot);
+        owner.share(slot.job(), tuning, -1);
+        queues
+            .computeIfAbsent(slot.job().team(), t -> new ArrayList<>())
+            .add(0, new Entry(null, slot, host));
+        touched.add(slot.job().team());
+      }
     }
+    sortByClass(touched);
+  }
 
-    /** What the next entry of a team stands for when teams are compared. */
-    private record Head(String team, boolean overdue, boolean guaranteed, int priority, double fraction, int rank) {
-        static final Comparator<Head> ORDER = Comparator.comparing((Head h) -> !h.overdue)
-                .thenComparing(h -> !h.guaranteed).thenComparingInt(h -> -h.priority)
-                .thenComparingDouble(Head::fraction).thenComparingInt(Head::rank);
+  /** Evicted tasks head their queues, in each class. */
+  private void sortByClass(Set<String> names) {
+    for (String name : names) {
+      queues
+          .get(name)
+          .sort(
+              Comparator.comparing((Entry e) -> !e.overdue())
+                  .thenComparingInt(e -> -e.job().priority().ordinal()));
     }
+  }
 
-    /**
-     * The smallest fraction of its fair share, counting the task at the head, decides which team is next. But what
-     * could stop others goes before them: first what is within a guarantee, then higher classes. Were the others
-     * placed first, they would only be stopped in the next cycle, again and again.
-     */
-    private void fill() {
-        PriorityQueue<Head> heads = new PriorityQueue<>(Head.ORDER);
-        Map<String, Integer> at = new HashMap<>();
-        List<String> names = new ArrayList<>(queues.keySet());
-        for (int i = 0; i < names.size(); i++) {
-            at.put(names.get(i), 0);
-            heads.add(head(names.get(i), 0, i));
-        }
-        while (!heads.isEmpty()) {
-            Head head = heads.poll();
-            List<Entry> queue = queues.get(head.team);
-            int index = at.get(head.team);
-            if (step(queue.get(index), teams.get(head.team))) {
-                at.put(head.team, ++index);
-            }
-            if (index < queue.size()) {
-                heads.add(head(head.team, index, head.rank));
-            }
-        }
-    }
+  /** What the next entry of a team stands for when teams are compared. */
+  private record Head(
+      String team, boolean overdue, boolean guaranteed, int priority, double fraction, int rank) {
+    static final Comparator<Head> ORDER =
+        Comparator.comparing((Head h) -> !h.overdue)
+            .thenComparing(h -> !h.guaranteed)
+            .thenComparingInt(h -> -h.priority)
+            .thenComparingDouble(Head::fraction)
+            .thenComparingInt(Head::rank);
+  }
 
-    private Head head(String name, int index, int rank) {
-        Entry entry = queues.get(name).get(index);
-        JobSpec job = entry.job();
-        Team team = teams.get(name);
-        return new Head(name, entry.overdue(), team.withinGuarantee(job), job.priority().ordinal(),
-                team.fraction(tuning.cost(job)), rank);
+  /**
+   * The smallest fraction of its fair share, counting the task at the head, decides which team is
+   * next. But what could stop others goes before them: first what is within a guarantee, then
+   * higher classes. Were the others placed first, they would only be stopped in the next cycle,
+   * again and again.
+   */
+  private void fill() {
+    PriorityQueue<Head> heads = new PriorityQueue<>(Head.ORDER);
+    Map<String, Integer> at = new HashMap<>();
+    List<String> names = new ArrayList<>(queues.keySet());
+    for (int i = 0; i < names.size(); i++) {
+      at.put(names.get(i), 0);
+      heads.add(head(names.get(i), 0, i));
+    }
+    while (!heads.isEmpty()) {
+      Head head = heads.poll();
+      List<Entry> queue = queues.get(head.team);
+      int index = at.get(head.team);
+      if (step(queue.get(index), teams.get(head.team))) {
+        at.put(head.team, ++index);
+      }
+      if (index < queue.size()) {
+        heads.add(head(head.team, index, head.rank));
+      }
     }
+  }
 
-    /** Places one task of the entry; true when the entry has nothing more to place. */
-    private boolean step(Entry entry, Team team) {
-        JobSpec job = entry.job();
-        if (entry.evicted != null) {
-            if (entry.home.room.fits(job)) {
-                entry.home.enter(job);
-                team.share(job, tuning, 1);
-                failures.teamsChanged();
-            } else {
-                stops.add(new Plan.Stop(entry.evicted.task(), entry.home.id, "another team's guarantee"));
-            }
-            return true;
-        }
-        Pending pending = entry.pending;
-        if (!team.withinLimit(job)) {
-            return true;
-        }
-        TaskId task = new TaskId(job.id(), pending.next());
-        Host host = choose(pending, task);
-        if (host == null) {
-            host = preempt(pending, task, team);
-        }
-        if (host == null) {
-            if (pending.isOverdue()) {
-                keepRoom(pending, task);
-            }
-            unmet.put(pending, team.tasksWithinLimit(job, pending.left()));
-            return true;
-        }
-        boolean overdue = pending.isOverdue();
-        pending.entered(host.kind.zone());
-        team.use(job, tuning);
+  private Head head(String name, int index, int rank) {
+    Entry entry = queues.get(name).get(index);
+    JobSpec job = entry.job();
+    Team team = teams.get(name);
+    return new Head(
+        name,
+        entry.overdue(),
+        team.withinGuarantee(job),
+        job.priority().ordinal(),
+        team.fraction(tuning.cost(job)),
+        rank);
+  }
+
+  /** Places one task of the entry; true when the entry has nothing more to place. */
+  private boolean step(Entry entry, Team team) {
+    JobSpec job = entry.job();
+    if (entry.evicted != null) {
+      if (entry.home.room.fits(job)) {
+        entry.home.enter(job);
+        team.share(job, tuning, 1);
         failures.teamsChanged();
-        host.enter(job);
-        if (host.free.fits(job)) {
-            host.free.take(job);
-            placements.add(new Plan.Placement(task, host.id, overdue));
-        }
-        return pending.isEmpty();
+      } else {
+        stops.add(new Plan.Stop(entry.evicted.task(), entry.home.id, "another team's guarantee"));
+      }
+      return true;
     }
+    Pending pending = entry.pending;
+    if (!team.withinLimit(job)) {
+      return true;
+    }
+    TaskId task = new TaskId(job.id(), pending.next());
+    Host host = choose(pending, task);
+    if (host == null) {
+      host = preempt(pending, task, team);
+    }
+    if (host == null) {
+      if (pending.isOverdue()) {
+        keepRoom(pending, task);
+      }
+      unmet.put(pending, team.tasksWithinLimit(job, pending.left()));
+      return true;
+    }
+    boolean overdue = pending.isOverdue();
+    pending.entered(host.kind.zone());
+    team.use(job, tuning);
+    failures.teamsChanged();
+    host.enter(job);
+    if (host.free.fits(job)) {
+      host.free.take(job);
+      placements.add(new Plan.Placement(task, host.id, overdue));
+    }
+    return pending.isEmpty();
+  }
 
-    /**
-     * Machines used only by the team, then shared ones, then empty ones, and in each set the one with the least
-     * free room; what is free now goes before what is only being freed. The design takes empty machines before
-     * shared ones; here every second of a machine is paid for, and one that stays empty can be returned.
-     */
-    private Host choose(Pending pending, TaskId task) {
-        JobSpec job = pending.job;
-        if (failures.noRoom(job)) {
-            return null;
-        }
-        Host best = null;
-        boolean narrowed = false;
-        for (Host host : hosts) {
-            if (!host.room.fits(job) || !host.kind.allows(job)) {
-                continue;
-            }
-            if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
-                narrowed = true;
-            } else if (best == null || better(host, best, job)) {
-                best = host;
-            }
-        }
-        if (best == null && !narrowed) {
-            failures.addNoRoom(job);
-        }
-        return best;
+  /**
+   * Machines used only by the team, then shared ones, then empty ones, and in each set the one with
+   * the least free room; what is free now goes before what is only being freed. The design takes
+   * empty machines before shared ones; here every second of a machine is paid for, and one that
+   * stays empty can be returned.
+   */
+  private Host choose(Pending pending, TaskId task) {
+    JobSpec job = pending.job;
+    if (failures.noRoom(job)) {
+      return null;
+    }
+    Host best = null;
+    boolean narrowed = false;
+    for (Host host : hosts) {
+      if (!host.room.fits(job) || !host.kind.allows(job)) {
+        continue;
+      }
+      if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
+        narrowed = true;
+      } else if (best == null || better(host, best, job)) {
+        best = host;
+      }
     }
+    if (best == null && !narrowed) {
+      failures.addNoRoom(job);
+    }
+    return best;
+  }
 
-    /**
-     * The exception to the design's order that keeps anybody from starving: a job that has waited for very long, and
-     * of which nothing has ever run, comes first with one task; and if that task fits nowhere, the machine with the
-     * most room for it takes nothing else in this cycle. Small tasks would fill every gap before it is large enough.
-     */
-    private void keepRoom(Pending pending, TaskId task) {
-        Host most = null;
-        for (Host host : hosts) {
-            if (host.cpus + 1e-6 >= pending.job.cpus() && !host.kept() && host.kind.allows(pending.job)
-                    && pending.zoneAllowed(host.kind.zone()) && !host.barred(task)
-                    && (most == null || host.room.cpus > most.room.cpus)) {
-                most = host;
-            }
-        }
-        if (most != null) {
-            most.keep();
-        }
+  /**
+   * The exception to the design's order that keeps anybody from starving: a job that has waited for
+   * very long, and of which nothing has ever run, comes first with one task; and if that task fits
+   * nowhere, the machine with the most room for it takes nothing else in this cycle. Small tasks
+   * would fill every gap before it is large enough.
+   */
+  private void keepRoom(Pending pending, TaskId task) {
+    Host most = null;
+    for (Host host : hosts) {
+      if (host.cpus + 1e-6 >= pending.job.cpus()
+          && !host.kept()
+          && host.kind.allows(pending.job)
+          && pending.zoneAllowed(host.kind.zone())
+          && !host.barred(task)
+          && (most == null || host.room.cpus > most.room.cpus)) {
+        most = host;
+      }
+    }
+    if (most != null) {
+      most.keep();
     }
+  }
 
-    private static boolean better(Host a, Host b, JobSpec job) {
-        boolean nowA = a.free.fits(job);
-        if (nowA != b.free.fits(job)) {
-            return nowA;
-        }
-        if (Math.abs(a.cpus - b.cpus) > 1e-6) {
-            return a.cpus < b.cpus;
-        }
-        boolean heldByA = a.holds(job.image());
-        if (heldByA != b.holds(job.image())) {
-            return heldByA;
-        }
-        if (a.kind.spot() != b.kind.spot()) {
-            return a.kind.spot();
-        }
-        int setA = a.set(job.team());
-        int setB = b.set(job.team());
-        if (setA != setB) {
-            return setA < setB;
-        }
-        return a.room.cpus < b.room.cpus - 1e-6;
+  private static boolean better(Host a, Host b, JobSpec job) {
+    boolean nowA = a.free.fits(job);
+    if (nowA != b.free.fits(job)) {
+      return nowA;
+    }
+    if (Math.abs(a.cpus - b.cpus) > 1e-6) {
+      return a.cpus < b.cpus;
+    }
+    boolean heldByA = a.holds(job.image());
+    if (heldByA != b.holds(job.image())) {
+      return heldByA;
     }
+    if (a.kind.spot() != b.kind.spot()) {
+      return a.kind.spot();
+    }
+    int setA = a.set(job.team());
+    int setB = b.set(job.team());
+    if (setA != setB) {
+      return setA < setB;
+    }
+    return a.room.cpus < b.room.cpus - 1e-6;
+  }
 
-    /** Makes room on the host where that wastes the least work, by stops that the protocol allows; null if nowhere. */
-    private Host preempt(Pending pending, TaskId task, Team team) {
-        JobSpec job = pending.job;
-        boolean guaranteed = team.withinGuarantee(job);
-        if (failures.noVictims(job, guaranteed)) {
-            return null;
-        }
-        Host best = null;
-        List<Slot> bestVictims = null;
-        double bestLoss = Double.POSITIVE_INFINITY;
-        boolean narrowed = false;
-        for (Host host : hosts) {
-            if (!host.hasBelow(job.priority().ordinal()) && !(guaranteed && host.hasOthers(job.team()))
-                    || !host.kind.allows(job) || host.kept()) {
-                continue;
-            }
-            if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
-                narrowed = true;
-                continue;
-            }
-            List<Slot> victims = victims(host, job, guaranteed);
-            double loss = victims == null ? Double.POSITIVE_INFINITY
-                    : victims.stream().mapToDouble(s -> s.lostS(now) * tuning.cost(s.job())).sum();
-            if (loss < bestLoss) {
-                best = host;
-                bestVictims = victims;
-                bestLoss = loss;
-            }
-        }
-        if (best == null) {
-            if (!narrowed) {
-                failures.addNoVictims(job, guaranteed);
-            }
-            return null;
-        }
-        for (Slot victim : bestVictims) {
-            best.leave(victim);
-            teams.get(victim.job().team()).share(victim.job(), tuning, -1);
-            stops.add(new Plan.Stop(victim.task(), best.id, guaranteed ? "the guarantee of " + job.team()
-                    : "higher priority of " + job.id()));
-        }
-        failures.roomMade();
-        return best;
+  /**
+   * Makes room on the host where that wastes the least work, by stops that the protocol allows;
+   * null if nowhere.
+   */
+  private Host preempt(Pending pending, TaskId task, Team team) {
+    JobSpec job = pending.job;
+    boolean guaranteed = team.withinGuarantee(job);
+    if (failures.noVictims(job, guaranteed)) {
+      return null;
     }
+    Host best = null;
+    List<Slot> bestVictims = null;
+    double bestLoss = Double.POSITIVE_INFINITY;
+    boolean narrowed = false;
+    for (Host host : hosts) {
+      if (!host.hasBelow(job.priority().ordinal()) && !(guaranteed && host.hasOthers(job.team()))
+          || !host.kind.allows(job)
+          || host.kept()) {
+        continue;
+      }
+      if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
+        narrowed = true;
+        continue;
+      }
+      List<Slot> victims = victims(host, job, guaranteed);
+      double loss =
+          victims == null
+              ? Double.POSITIVE_INFINITY
+              : victims.stream().mapToDouble(s -> s.lostS(now) * tuning.cost(s.job())).sum();
+      if (loss < bestLoss) {
+        best = host;
+        bestVictims = victims;
+        bestLoss = loss;
+      }
+    }
+    if (best == null) {
+      if (!narrowed) {
+        failures.addNoVictims(job, guaranteed);
+      }
+      return null;
+    }
+    for (Slot victim : bestVictims) {
+      best.leave(victim);
+      teams.get(victim.job().team()).share(victim.job(), tuning, -1);
+      stops.add(
+          new Plan.Stop(
+              victim.task(),
+              best.id,
+              guaranteed ? "the guarantee of " + job.team() : "higher priority of " + job.id()));
+    }
+    failures.roomMade();
+    return best;
+  }
 
-    private List<Slot> victims(Host host, JobSpec job, boolean guaranteed) {
-        List<Slot> candidates = new ArrayList<>();
-        for (Slot slot : host.slots) {
-            Team owner = teams.get(slot.job().team());
-            if (owner == null) {
-                continue;
-            }
-            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
-            boolean own = slot.job().team().equals(job.team());
-            // Of two teams only the one within its guarantee may stop the other, or they would take turns at it.
-            if (lower && (guaranteed || own) || (lower || guaranteed && !own) && owner.beyondGuarantee(slot.job())) {
-                candidates.add(slot);
-            }
-        }
-        candidates.sort(Comparator.comparingDouble((Slot s) -> s.lostS(now) * tuning.cost(s.job())));
-        Room room = host.room.copy();
-        List<Slot> victims = new ArrayList<>();
-        Map<String, Room> taken = new HashMap<>();
-        for (Slot slot : candidates) {
-            if (room.fits(job)) {
-                break;
-            }
-            boolean lower = slot.job().priority().ordinal() < job.priority().ordinal()
-                    && (guaranteed || slot.job().team().equals(job.team()));
-            Room sum = taken.computeIfAbsent(slot.job().team(), t -> new Room(0, 0, 0));
-            sum.give(slot.job());
-            Team owner = teams.get(slot.job().team());
-            // Several victims of one team may together reach into its guarantee even if none does alone.
-            if (!lower && (owner.rights.cpus() > 0 && owner.cpus - sum.cpus < owner.rights.cpus() - 1e-6
-                    || owner.rights.gpus() > 0 && owner.gpus - sum.gpus < owner.rights.gpus() - 1e-6)) {
-                sum.take(slot.job());
-                continue;
-            }
-            victims.add(slot);
-            room.give(slot.job());
-        }
-        return room.fits(job) && !victims.isEmpty() ? victims : null;
+  private List<Slot> victims(Host host, JobSpec job, boolean guaranteed) {
+    List<Slot> candidates = new ArrayList<>();
+    for (Slot slot : host.slots) {
+      Team owner = teams.get(slot.job().team());
+      if (owner == null) {
+        continue;
+      }
+      boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
+      boolean own = slot.job().team().equals(job.team());
+      // Of two teams only the one within its guarantee may stop the other, or they would take turns
+      // at it.
+      if (lower && (guaranteed || own)
+          || (lower || guaranteed && !own) && owner.beyondGuarantee(slot.job())) {
+        candidates.add(slot);
+      }
+    }
+    candidates.sort(Comparator.comparingDouble((Slot s) -> s.lostS(now) * tuning.cost(s.job())));
+    Room room = host.room.copy();
+    List<Slot> victims = new ArrayList<>();
+    Map<String, Room> taken = new HashMap<>();
+    for (Slot slot : candidates) {
+      if (room.fits(job)) {
+        break;
+      }
+      boolean lower =
+          slot.job().priority().ordinal() < job.priority().ordinal()
+              && (guaranteed || slot.job().team().equals(job.team()));
+      Room sum = taken.computeIfAbsent(slot.job().team(), t -> new Room(0, 0, 0));
+      sum.give(slot.job());
+      Team owner = teams.get(slot.job().team());
+      // Several victims of one team may together reach into its guarantee even if none does alone.
+      if (!lower
+          && (owner.rights.cpus() > 0 && owner.cpus - sum.cpus < owner.rights.cpus() - 1e-6
+              || owner.rights.gpus() > 0 && owner.gpus - sum.gpus < owner.rights.gpus() - 1e-6)) {
+        sum.take(slot.job());
+        continue;
+      }
+      victims.add(slot);
+      room.give(slot.job());
     }
+    return room.fits(job) && !victims.isEmpty() ? victims : null;
+  }
 }
--- a/src/main/java/org/saffronshore/scheduling/Failures.java
+++ b/src/main/java/org/saffronshore/scheduling/Failures.java
@@ -7,51 +7,68 @@
 import org.saffronshore.wire.JobSpec;
 
 /**
- * What one cycle found no place for. Room only shrinks as tasks are placed, so what asks for at least as much, and
- * may go to no more machines, need not be tried: with a long queue on a full cluster, that is most of the work.
+ * What one cycle found no place for. Room only shrinks as tasks are placed, so what asks for at
+ * least as much, and may go to no more machines, need not be tried: with a long queue on a full
+ * cluster, that is most of the work.
  */
 final class Failures {
-    private final List<JobSpec> noRoom = new ArrayList<>();
-    private final Set<Try> noVictims = new HashSet<>();
+  private final List<JobSpec> noRoom = new ArrayList<>();
+  private final Set<Try> noVictims = new HashSet<>();
 
-    private record Try(String team, int priority, boolean guaranteed, double cpus, double gpus, double memoryGb,
-            List<String> types, String zone, boolean spot) {
+  private record Try(
+      String team,
+      int priority,
+      boolean guaranteed,
+      double cpus,
+      double gpus,
+      double memoryGb,
+      List<String> types,
+      String zone,
+      boolean spot) {
 
-        static Try of(JobSpec job, boolean guaranteed) {
-            return new Try(job.team(), job.priority().ordinal(), guaranteed, job.cpus(), job.gpus(), job.memoryGb(),
-                    job.types(), job.zone(), job.spot());
-        }
+    static Try of(JobSpec job, boolean guaranteed) {
+      return new Try(
+          job.team(),
+          job.priority().ordinal(),
+          guaranteed,
+          job.cpus(),
+          job.gpus(),
+          job.memoryGb(),
+          job.types(),
+          job.zone(),
+          job.spot());
     }
+  }
 
-    boolean noRoom(JobSpec job) {
-        for (JobSpec failed : noRoom) {
-            if (job.asksNoLess(failed)) {
-                return true;
-            }
-        }
-        return false;
+  boolean noRoom(JobSpec job) {
+    for (JobSpec failed : noRoom) {
+      if (job.asksNoLess(failed)) {
+        return true;
+      }
     }
+    return false;
+  }
 
-    void addNoRoom(JobSpec job) {
-        noRoom.add(job);
-    }
+  void addNoRoom(JobSpec job) {
+    noRoom.add(job);
+  }
 
-    boolean noVictims(JobSpec job, boolean guaranteed) {
-        return !noVictims.isEmpty() && noVictims.contains(Try.of(job, guaranteed));
-    }
+  boolean noVictims(JobSpec job, boolean guaranteed) {
+    return !noVictims.isEmpty() && noVictims.contains(Try.of(job, guaranteed));
+  }
 
-    void addNoVictims(JobSpec job, boolean guaranteed) {
-        noVictims.add(Try.of(job, guaranteed));
-    }
+  void addNoVictims(JobSpec job, boolean guaranteed) {
+    noVictims.add(Try.of(job, guaranteed));
+  }
 
-    /** A team has more than before: more of it may be beyond its guarantee, and so be stopped. */
-    void teamsChanged() {
-        noVictims.clear();
-    }
+  /** A team has more than before: more of it may be beyond its guarantee, and so be stopped. */
+  void teamsChanged() {
+    noVictims.clear();
+  }
 
-    /** Tasks are to be stopped: there is room where there was none. */
-    void roomMade() {
-        noRoom.clear();
-        noVictims.clear();
-    }
+  /** Tasks are to be stopped: there is room where there was none. */
+  void roomMade() {
+    noRoom.clear();
+    noVictims.clear();
+  }
 }
--- a/src/main/java/org/saffronshore/scheduling/Host.java
+++ b/src/main/java/org/saffronshore/scheduling/Host.java
@@ -12,101 +12,106 @@
 
 /**
  * A machine as the cycle sees it; kept from one cycle to the next as long as nothing of it changes.
- * {@code free} is what is free now; {@code room} adds what tasks that are being
- * stopped, or are evicted in memory, will leave. A task that only fits the latter is promised its place, not
+ * {@code free} is what is free now; {@code room} adds what tasks that are being stopped, or are
+ * evicted in memory, will leave. A task that only fits the latter is promised its place, not
  * started there.
  */
 public final class Host {
-    public final String id;
-    public final Kind kind;
-    final double cpus;
-    public final Room free;
-    public final Room room;
-    final List<Slot> slots = new ArrayList<>();
-    final Map<String, Integer> teams = new HashMap<>(8);
-    private final Predicate<TaskId> barred;
-    private final Set<String> images;
-    /** The lowest class among the tasks that could be stopped, as an ordinal. */
-    private int lowest = Integer.MAX_VALUE;
-    private boolean touched;
-    private boolean kept;
-
-    /**
-     * @param barred tasks that may not be put here
-     * @param images what it holds; may change between cycles, but not in one
-     */
-    public Host(String id, Kind kind, Room capacity, Predicate<TaskId> barred, Set<String> images) {
-        this.id = id;
-        this.kind = kind;
-        this.cpus = capacity.cpus;
-        this.free = capacity;
-        this.room = capacity.copy();
-        this.barred = barred;
-        this.images = images;
-    }
+  public final String id;
+  public final Kind kind;
+  final double cpus;
+  public final Room free;
+  public final Room room;
+  final List<Slot> slots = new ArrayList<>();
+  final Map<String, Integer> teams = new HashMap<>(8);
+  private final Predicate<TaskId> barred;
+  private final Set<String> images;
 
-    /** Puts a task that is there already. */
-    public void add(Slot slot) {
-        free.take(slot.job());
-        if (!slot.stopping()) {
-            room.take(slot.job());
-            teams.merge(slot.job().team(), 1, Integer::sum);
-            if (!slot.kept()) {
-                slots.add(slot);
-                lowest = Math.min(lowest, slot.job().priority().ordinal());
-            }
-        }
-    }
+  /** The lowest class among the tasks that could be stopped, as an ordinal. */
+  private int lowest = Integer.MAX_VALUE;
 
-    /** Whether a cycle has changed it, so that it shows the machine no longer as it is. */
-    public boolean touched() {
-        return touched;
-    }
+  private boolean touched;
+  private boolean kept;
 
-    /** Whether it has tasks of a class below this one. */
-    boolean hasBelow(int priority) {
-        return lowest < priority;
-    }
+  /**
+   * @param barred tasks that may not be put here
+   * @param images what it holds; may change between cycles, but not in one
+   */
+  public Host(String id, Kind kind, Room capacity, Predicate<TaskId> barred, Set<String> images) {
+    this.id = id;
+    this.kind = kind;
+    this.cpus = capacity.cpus;
+    this.free = capacity;
+    this.room = capacity.copy();
+    this.barred = barred;
+    this.images = images;
+  }
 
-    /** Whether it has tasks of any other team. */
-    boolean hasOthers(String team) {
-        return teams.size() > 1 || teams.size() == 1 && !teams.containsKey(team);
+  /** Puts a task that is there already. */
+  public void add(Slot slot) {
+    free.take(slot.job());
+    if (!slot.stopping()) {
+      room.take(slot.job());
+      teams.merge(slot.job().team(), 1, Integer::sum);
+      if (!slot.kept()) {
+        slots.add(slot);
+        lowest = Math.min(lowest, slot.job().priority().ordinal());
+      }
     }
+  }
 
-    void leave(Slot slot) {
-        touched = true;
-        room.give(slot.job());
-        slots.remove(slot);
-        teams.merge(slot.job().team(), -1, (a, b) -> a + b == 0 ? null : a + b);
-    }
+  /** Whether a cycle has changed it, so that it shows the machine no longer as it is. */
+  public boolean touched() {
+    return touched;
+  }
 
-    void enter(JobSpec job) {
-        touched = true;
-        room.take(job);
-        teams.merge(job.team(), 1, Integer::sum);
-    }
+  /** Whether it has tasks of a class below this one. */
+  boolean hasBelow(int priority) {
+    return lowest < priority;
+  }
 
-    /** Takes nothing more in this cycle. */
-    void keep() {
-        touched = true;
-        kept = true;
-        room.cpus = 0;
-    }
+  /** Whether it has tasks of any other team. */
+  boolean hasOthers(String team) {
+    return teams.size() > 1 || teams.size() == 1 && !teams.containsKey(team);
+  }
 
-    boolean kept() {
-        return kept;
-    }
+  void leave(Slot slot) {
+    touched = true;
+    room.give(slot.job());
+    slots.remove(slot);
+    teams.merge(slot.job().team(), -1, (a, b) -> a + b == 0 ? null : a + b);
+  }
 
-    boolean barred(TaskId task) {
-        return barred.test(task);
-    }
+  void enter(JobSpec job) {
+    touched = true;
+    room.take(job);
+    teams.merge(job.team(), 1, Integer::sum);
+  }
 
-    boolean holds(String image) {
-        return images.contains(image);
-    }
+  /** Takes nothing more in this cycle. */
+  void keep() {
+    touched = true;
+    kept = true;
+    room.cpus = 0;
+  }
 
-    /** 0 where only this team is, 1 where others are, 2 where nobody is: the order in which sets are tried. */
-    int set(String team) {
-        return teams.isEmpty() ? 2 : teams.size() == 1 && teams.containsKey(team) ? 0 : 1;
-    }
+  boolean kept() {
+    return kept;
+  }
+
+  boolean barred(TaskId task) {
+    return barred.test(task);
+  }
+
+  boolean holds(String image) {
+    return images.contains(image);
+  }
+
+  /**
+   * 0 where only this team is, 1 where others are, 2 where nobody is: the order in which sets are
+   * tried.
+   */
+  int set(String team) {
+    return teams.isEmpty() ? 2 : teams.size() == 1 && teams.containsKey(team) ? 0 : 1;
+  }
 }
--- a/src/main/java/org/saffronshore/scheduling/Plan.java
+++ b/src/main/java/org/saffronshore/scheduling/Plan.java
@@ -7,11 +7,16 @@
 /** What a cycle decided. */
 public record Plan(List<Placement> placements, List<Stop> stops, List<Unmet> unmet) {
 
-    /** {@code overdue}: the task was placed before all others since its job had waited for very long. */
-    public record Placement(TaskId task, String host, boolean overdue) {}
+  /**
+   * {@code overdue}: the task was placed before all others since its job had waited for very long.
+   */
+  public record Placement(TaskId task, String host, boolean overdue) {}
 
-    public record Stop(TaskId task, String host, String why) {}
+  public record Stop(TaskId task, String host, String why) {}
 
-    /** Tasks of a job that found no place although the team's limit lets them run; in the order of the queue. */
-    public record Unmet(JobSpec job, int tasks) {}
+  /**
+   * Tasks of a job that found no place although the team's limit lets them run; in the order of the
+   * queue.
+   */
+  public record Unmet(JobSpec job, int tasks) {}
 }
--- a/src/main/java/org/saffronshore/scheduling/Slot.java
+++ b/src/main/java/org/saffronshore/scheduling/Slot.java
@@ -11,12 +11,12 @@
  */
 public record Slot(TaskId task, JobSpec job, boolean stopping, double since, boolean kept) {
 
-    public Slot(TaskId task, JobSpec job, boolean stopping, double since) {
-        this(task, job, stopping, since, false);
-    }
+  public Slot(TaskId task, JobSpec job, boolean stopping, double since) {
+    this(task, job, stopping, since, false);
+  }
 
-    /** How much of its running time a stop would waste. */
-    double lostS(double now) {
-        return Double.isNaN(since) ? 0 : job.saves() ? job.saveS() : now - since;
-    }
+  /** How much of its running time a stop would waste. */
+  double lostS(double now) {
+    return Double.isNaN(since) ? 0 : job.saves() ? job.saveS() : now - since;
+  }
 }
--- a/src/main/java/org/saffronshore/state/Budget.java
+++ b/src/main/java/org/saffronshore/state/Budget.java
@@ -3,62 +3,64 @@
 import org.saffronshore.http.Loop;
 
 /**
- * This node's share of a rate that the service's nodes have in common. A part of the burst is kept for what the
- * service cannot do without, such as renewing the leader's permit.
+ * This node's share of a rate that the service's nodes have in common. A part of the burst is kept
+ * for what the service cannot do without, such as renewing the leader's permit.
  */
 public final class Budget {
-    /** Users' requests leave this share of the burst alone. */
-    private static final double RESERVED = 0.2;
+  /** Users' requests leave this share of the burst alone. */
+  private static final double RESERVED = 0.2;
 
-    private final Loop loop;
-    private final double burstS;
-    private double perSecond;
-    private double level;
-    private double at;
+  private final Loop loop;
+  private final double burstS;
+  private double perSecond;
+  private double level;
+  private double at;
 
-    /** @param burstS how many seconds' worth may be spent at once after a quiet time */
-    public Budget(Loop loop, double perSecond, double burstS) {
-        this.loop = loop;
-        this.burstS = burstS;
-        this.perSecond = perSecond;
-        this.level = burst();
-        this.at = loop.now();
-    }
+  /**
+   * @param burstS how many seconds' worth may be spent at once after a quiet time
+   */
+  public Budget(Loop loop, double perSecond, double burstS) {
+    this.loop = loop;
+    this.burstS = burstS;
+    this.perSecond = perSecond;
+    this.level = burst();
+    this.at = loop.now();
+  }
 
-    private double burst() {
-        return Math.max(1, perSecond * burstS);
-    }
+  private double burst() {
+    return Math.max(1, perSecond * burstS);
+  }
 
-    private void fill() {
-        double now = loop.now();
-        level = Math.min(burst(), level + (now - at) * perSecond);
-        at = now;
-    }
+  private void fill() {
+    double now = loop.now();
+    level = Math.min(burst(), level + (now - at) * perSecond);
+    at = now;
+  }
 
-    /** Changes the share of this node; what it has saved up stays. */
-    public void share(double newPerSecond) {
-        fill();
-        perSecond = newPerSecond;
-    }
+  /** Changes the share of this node; what it has saved up stays. */
+  public void share(double newPerSecond) {
+    fill();
+    perSecond = newPerSecond;
+  }
 
-    /** The share of this node. */
-    public double perSecond() {
-        return perSecond;
-    }
+  /** The share of this node. */
+  public double perSecond() {
+    return perSecond;
+  }
 
-    /** How much a request of users may take now. */
-    public double available() {
-        fill();
-        return level - RESERVED * burst();
-    }
+  /** How much a request of users may take now. */
+  public double available() {
+    fill();
+    return level - RESERVED * burst();
+  }
 
-    public boolean take(double amount, boolean vital) {
-        fill();
-        double floor = vital ? 0 : Math.min(burst() * RESERVED, burst() - amount);
-        if (level - amount < floor) {
-            return false;
-        }
-        level -= amount;
-        return true;
+  public boolean take(double amount, boolean vital) {
+    fill();
+    double floor = vital ? 0 : Math.min(burst() * RESERVED, burst() - amount);
+    if (level - amount < floor) {
+      return false;
     }
+    level -= amount;
+    return true;
+  }
 }
--- a/src/main/java/org/saffronshore/state/CancellationLog.java
+++ b/src/main/java/org/saffronshore/state/CancellationLog.java
@@ -5,44 +5,47 @@
 import org.saffronshore.http.Loop;
 
 /**
- * The cancellations that this process committed or read, the latest last, for as long as a cancellation may take.
- * Controllers report them to the leader, which may be unable to read them from the state service itself.
+ * The cancellations that this process committed or read, the latest last, for as long as a
+ * cancellation may take. Controllers report them to the leader, which may be unable to read them
+ * from the state service itself.
  */
 final class CancellationLog {
-    private static final int CAPACITY = 500;
-
-    private record Entry(String job, double learnedAt) {}
-
-    private final Loop loop;
-    private final double keptForS;
-    private final ArrayDeque<Entry> entries = new ArrayDeque<>();
-    /** No cancellation learned since then has been dropped. */
-    private double completeSince;
-
-    CancellationLog(Loop loop, double keptForS) {
-        this.loop = loop;
-        this.keptForS = keptForS;
-        this.completeSince = loop.now();
-    }
-
-    void add(String job) {
-        entries.add(new Entry(job, loop.now()));
-    }
-
-    List<String> recent() {
-        dropOld();
-        return entries.stream().map(Entry::job).toList();
-    }
-
-    /** For how many seconds {@link #recent} is complete. */
-    double coversS() {
-        dropOld();
-        return loop.now() - completeSince;
-    }
-
-    private void dropOld() {
-        while (!entries.isEmpty() && (entries.size() > CAPACITY || entries.peek().learnedAt < loop.now() - keptForS)) {
-            completeSince = entries.poll().learnedAt;
-        }
+  private static final int CAPACITY = 500;
+
+  private record Entry(String job, double learnedAt) {}
+
+  private final Loop loop;
+  private final double keptForS;
+  private final ArrayDeque<Entry> entries = new ArrayDeque<>();
+
+  /** No cancellation learned since then has been dropped. */
+  private double completeSince;
+
+  CancellationLog(Loop loop, double keptForS) {
+    this.loop = loop;
+    this.keptForS = keptForS;
+    this.completeSince = loop.now();
+  }
+
+  void add(String job) {
+    entries.add(new Entry(job, loop.now()));
+  }
+
+  List<String> recent() {
+    dropOld();
+    return entries.stream().map(Entry::job).toList();
+  }
+
+  /** For how many seconds {@link #recent} is complete. */
+  double coversS() {
+    dropOld();
+    return loop.now() - completeSince;
+  }
+
+  private void dropOld() {
+    while (!entries.isEmpty()
+        && (entries.size() > CAPACITY || entries.peek().learnedAt < loop.now() - keptForS)) {
+      completeSince = entries.poll().learnedAt;
     }
+  }
 }
--- a/src/main/java/org/saffronshore/state/JobCache.java
+++ b/src/main/java/org/saffronshore/state/JobCache.java
@@ -11,83 +11,84 @@
 import org.saffronshore.state.JobStore.Status;
 
 /**
- * What one controller remembers of jobs. Only facts that never change are kept: how a job ended, and which version an
- * accepted job's record has and which jobs it needs. Whether a job is still open changes, and is never answered from here.
+ * What one controller remembers of jobs. Only facts that never change are kept: how a job ended,
+ * and which version an accepted job's record has and which jobs it needs. Whether a job is still
+ * open changes, and is never answered from here.
  */
 final class JobCache {
-    /** The most entries of each kind; the oldest are dropped first and read again when needed. */
-    private static final int CAPACITY = 20_000;
+  /** The most entries of each kind; the oldest are dropped first and read again when needed. */
+  private static final int CAPACITY = 20_000;
 
-    /** The record of an accepted job; it is written once and removed when the job ends. */
-    record JobRecord(long version, List<String> dependencies) {}
+  /** The record of an accepted job; it is written once and removed when the job ends. */
+  record JobRecord(long version, List<String> dependencies) {}
 
-    /**
-     * A set of jobs with everything that they need, directly or through others.
-     *
-     * @param open jobs that have not ended as far as is known
-     * @param unread jobs of which nothing is known
-     * @param cancelled whether one of them is known to be cancelled
-     */
-    record Closure(Set<String> open, List<String> unread, boolean cancelled) {}
+  /**
+   * A set of jobs with everything that they need, directly or through others.
+   *
+   * @param open jobs that have not ended as far as is known
+   * @param unread jobs of which nothing is known
+   * @param cancelled whether one of them is known to be cancelled
+   */
+  record Closure(Set<String> open, List<String> unread, boolean cancelled) {}
 
-    private final Map<String, JobRecord> records = new BoundedMap<>();
-    private final Map<String, Status> ends = new BoundedMap<>();
+  private final Map<String, JobRecord> records = new BoundedMap<>();
+  private final Map<String, Status> ends = new BoundedMap<>();
 
-    private static final class BoundedMap<V> extends LinkedHashMap<String, V> {
-        private static final long serialVersionUID = 1L;
+  private static final class BoundedMap<V> extends LinkedHashMap<String, V> {
+    private static final long serialVersionUID = 1L;
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
-            return size() > CAPACITY;
-        }
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+      return size() > CAPACITY;
     }
+  }
 
-    /** How a job ended, or null when that is not known. */
-    Status end(String id) {
-        return ends.get(id);
-    }
+  /** How a job ended, or null when that is not known. */
+  Status end(String id) {
+    return ends.get(id);
+  }
 
-    /** Remembers how a job ended; false when it was known already. */
-    boolean putEnd(String id, Status end) {
-        return ends.put(id, end) == null;
-    }
+  /** Remembers how a job ended; false when it was known already. */
+  boolean putEnd(String id, Status end) {
+    return ends.put(id, end) == null;
+  }
 
-    /** The record of a job that was open when it was last read, or null. */
-    JobRecord record(String id) {
-        return records.get(id);
-    }
+  /** The record of a job that was open when it was last read, or null. */
+  JobRecord record(String id) {
+    return records.get(id);
+  }
 
-    void putRecord(String id, JobRecord jobRecord) {
-        records.put(id, jobRecord);
-    }
+  void putRecord(String id, JobRecord jobRecord) {
+    records.put(id, jobRecord);
+  }
 
-    void dropRecord(String id) {
-        records.remove(id);
-    }
+  void dropRecord(String id) {
+    records.remove(id);
+  }
 
-    /** Whether the job is known to have been accepted. */
-    boolean isAccepted(String id) {
-        return ends.containsKey(id) || records.containsKey(id);
-    }
+  /** Whether the job is known to have been accepted. */
+  boolean isAccepted(String id) {
+    return ends.containsKey(id) || records.containsKey(id);
+  }
 
-    /** Follows the dependencies of some jobs as far as they are known. */
-    Closure closure(Collection<String> jobs) {
-        Set<String> open = new LinkedHashSet<>();
-        Set<String> unread = new LinkedHashSet<>();
-        boolean cancelled = false;
-        ArrayDeque<String> todo = new ArrayDeque<>(jobs);
-        while (!todo.isEmpty()) {
-            String job = todo.poll();
-            Status end = ends.get(job);
-            JobRecord known = records.get(job);
-            if (end != null) {
-                cancelled |= end == Status.CANCELLED;
-            } else if (known == null) {
-                unread.add(job);
-            } else if (open.add(job)) {
-                todo.addAll(known.dependencies());
-            }
-        }
-        return new Closure(open, new ArrayList<>(unread), cancelled);
+  /** Follows the dependencies of some jobs as far as they are known. */
+  Closure closure(Collection<String> jobs) {
+    Set<String> open = new LinkedHashSet<>();
+    Set<String> unread = new LinkedHashSet<>();
+    boolean cancelled = false;
+    ArrayDeque<String> todo = new ArrayDeque<>(jobs);
+    while (!todo.isEmpty()) {
+      String job = todo.poll();
+      Status end = ends.get(job);
+      JobRecord known = records.get(job);
+      if (end != null) {
+        cancelled |= end == Status.CANCELLED;
+      } else if (known == null) {
+        unread.add(job);
+      } else if (open.add(job)) {
+        todo.addAll(known.dependencies());
+      }
     }
+    return new Closure(open, new ArrayList<>(unread), cancelled);
+  }
 }
--- a/src/main/java/org/saffronshore/state/JobReader.java
+++ b/src/main/java/org/saffronshore/state/JobReader.java
@@ -17,174 +17,207 @@
 import org.saffronshore.wire.Json;
 
 /**
- * Reads jobs from the state service into the cache. A few jobs are read one by one; of many, the open ones are found in
- * a listing of all open jobs, and the others in listings of the ends around them. So a job that needs hundreds of others
- * costs a few requests and not hundreds, which would be more than a controller's share of the request rate.
+ * Reads jobs from the state service into the cache. A few jobs are read one by one; of many, the
+ * open ones are found in a listing of all open jobs, and the others in listings of the ends around
+ * them. So a job that needs hundreds of others costs a few requests and not hundreds, which would
+ * be more than a controller's share of the request rate.
  *
- * <p>An open job is looked for before its end. A job goes from one to the other in a single transaction, so finding
- * neither in this order proves that it was not accepted when the first was read.
+ * <p>An open job is looked for before its end. A job goes from one to the other in a single
+ * transaction, so finding neither in this order proves that it was not accepted when the first was
+ * read.
  */
 final class JobReader {
-    /** Up to so many jobs are read one by one. */
-    private static final int FEW = 8;
-
-    private final StateClient state;
-    private final JobCache cache;
-    private final BiConsumer<String, Status> onEnd;
-
-    /** @param onEnd is told of every end that is read */
-    JobReader(StateClient state, JobCache cache, BiConsumer<String, Status> onEnd) {
-        this.state = state;
-        this.cache = cache;
-        this.onEnd = onEnd;
-    }
-
-    /** Reads one job: OPEN, or how it ended, or ABSENT, or UNKNOWN when the state service did not tell. */
-    void read(String id, Consumer<Status> then) {
-        state.get(Keys.job(id), false, answer -> {
-            JsonNode body = answer.ok() ? answer.json() : null;
-            if (body != null) {
-                keep(id, body.path("Data"), Json.count(body, "Stamp", -1));
-                then.accept(Status.OPEN);
-            } else if (answer.status() == 404) {
-                cache.dropRecord(id);
-                readEnd(id, end -> then.accept(end.status()));
-            } else {
-                then.accept(Status.UNKNOWN);
-            }
-        });
-    }
-
-    private void keep(String id, JsonNode stored, long version) {
-        List<String> dependencies = new ArrayList<>();
-        stored.path("Spec").path(JobSpec.DEPENDENCIES).forEach(needed -> dependencies.add(needed.asText()));
-        cache.putRecord(id, new JobCache.JobRecord(version, List.copyOf(dependencies)));
-    }
-
-    /** Reads what is not known of some jobs. Tells the worst of it: ABSENT, then UNKNOWN; OPEN when all were accepted. */
-    void readAll(Collection<String> ids, Consumer<Status> then) {
-        List<String> unread = ids.stream().filter(id -> !cache.isAccepted(id)).toList();
-        if (unread.isEmpty()) {
+  /** Up to so many jobs are read one by one. */
+  private static final int FEW = 8;
+
+  private final StateClient state;
+  private final JobCache cache;
+  private final BiConsumer<String, Status> onEnd;
+
+  /**
+   * @param onEnd is told of every end that is read
+   */
+  JobReader(StateClient state, JobCache cache, BiConsumer<String, Status> onEnd) {
+    this.state = state;
+    this.cache = cache;
+    this.onEnd = onEnd;
+  }
+
+  /**
+   * Reads one job: OPEN, or how it ended, or ABSENT, or UNKNOWN when the state service did not
+   * tell.
+   */
+  void read(String id, Consumer<Status> then) {
+    state.get(
+        Keys.job(id),
+        false,
+        answer -> {
+          JsonNode body = answer.ok() ? answer.json() : null;
+          if (body != null) {
+            keep(id, body.path("Data"), Json.count(body, "Stamp", -1));
             then.accept(Status.OPEN);
-        } else if (unread.size() <= FEW) {
-            Gathered<Status> read = new Gathered<>(unread.size(), all -> then.accept(worst(all.values())));
-            unread.forEach(id -> read(id, status -> read.add(id, status)));
-        } else {
-            listOpen(open -> {
-                if (open == null) {
-                    then.accept(Status.UNKNOWN);
-                    return;
-                }
-                List<String> over = unread.stream().filter(id -> !open.contains(id)).toList();
-                readEnds(over, ends -> then.accept(worst(ends.values().stream().map(End::status).toList())));
-            });
-        }
+          } else if (answer.status() == 404) {
+            cache.dropRecord(id);
+            readEnd(id, end -> then.accept(end.status()));
+          } else {
+            then.accept(Status.UNKNOWN);
+          }
+        });
+  }
+
+  private void keep(String id, JsonNode stored, long version) {
+    List<String> dependencies = new ArrayList<>();
+    stored
+        .path("Spec")
+        .path(JobSpec.DEPENDENCIES)
+        .forEach(needed -> dependencies.add(needed.asText()));
+    cache.putRecord(id, new JobCache.JobRecord(version, List.copyOf(dependencies)));
+  }
+
+  /**
+   * Reads what is not known of some jobs. Tells the worst of it: ABSENT, then UNKNOWN; OPEN when
+   * all were accepted.
+   */
+  void readAll(Collection<String> ids, Consumer<Status> then) {
+    List<String> unread = ids.stream().filter(id -> !cache.isAccepted(id)).toList();
+    if (unread.isEmpty()) {
+      then.accept(Status.OPEN);
+    } else if (unread.size() <= FEW) {
+      Gathered<Status> read =
+          new Gathered<>(unread.size(), all -> then.accept(worst(all.values())));
+      unread.forEach(id -> read(id, status -> read.add(id, status)));
+    } else {
+      listOpen(
+          open -> {
+            if (open == null) {
+              then.accept(Status.UNKNOWN);
+              return;
+            }
+            List<String> over = unread.stream().filter(id -> !open.contains(id)).toList();
+            readEnds(
+                over, ends -> then.accept(worst(ends.values().stream().map(End::status).toList())));
+          });
     }
+  }
 
-    private static Status worst(Collection<Status> statuses) {
-        if (statuses.contains(Status.ABSENT)) {
-            return Status.ABSENT;
-        }
-        return statuses.contains(Status.UNKNOWN) ? Status.UNKNOWN : Status.OPEN;
+  private static Status worst(Collection<Status> statuses) {
+    if (statuses.contains(Status.ABSENT)) {
+      return Status.ABSENT;
     }
-
-    /**
-     * Lists the open jobs. Pages may be of different moments, but a job that is listed was open when the listing began,
-     * or was accepted later; null when the list could not be had.
-     */
-    void listOpen(Consumer<Set<String>> then) {
-        state.list(Keys.JOBS, false, listing -> {
-            if (listing == null) {
-                then.accept(null);
-                return;
-            }
-            Set<String> open = new HashSet<>();
-            for (StateClient.Entry entry : listing.entries()) {
-                String id = Keys.idOf(entry.key());
-                open.add(id);
-                keep(id, entry.value(), entry.version());
-            }
-            then.accept(open);
+    return statuses.contains(Status.UNKNOWN) ? Status.UNKNOWN : Status.OPEN;
+  }
+
+  /**
+   * Lists the open jobs. Pages may be of different moments, but a job that is listed was open when
+   * the listing began, or was accepted later; null when the list could not be had.
+   */
+  void listOpen(Consumer<Set<String>> then) {
+    state.list(
+        Keys.JOBS,
+        false,
+        listing -> {
+          if (listing == null) {
+            then.accept(null);
+            return;
+          }
+          Set<String> open = new HashSet<>();
+          for (StateClient.Entry entry : listing.entries()) {
+            String id = Keys.idOf(entry.key());
+            open.add(id);
+            keep(id, entry.value(), entry.version());
+          }
+          then.accept(open);
         });
-    }
-
-    /** Reads how a job ended: ABSENT when it has no end, UNKNOWN when that could not be read. */
-    void readEnd(String id, Consumer<End> then) {
-        state.get(Keys.end(id), false, answer -> {
-            JsonNode body = answer.ok() ? answer.json() : null;
-            if (body != null) {
-                then.accept(ended(id, body.path("Data")));
-            } else {
-                then.accept(new End(answer.status() == 404 ? Status.ABSENT : Status.UNKNOWN, 0));
-            }
+  }
+
+  /** Reads how a job ended: ABSENT when it has no end, UNKNOWN when that could not be read. */
+  void readEnd(String id, Consumer<End> then) {
+    state.get(
+        Keys.end(id),
+        false,
+        answer -> {
+          JsonNode body = answer.ok() ? answer.json() : null;
+          if (body != null) {
+            then.accept(ended(id, body.path("Data")));
+          } else {
+            then.accept(new End(answer.status() == 404 ? Status.ABSENT : Status.UNKNOWN, 0));
+          }
         });
-    }
+  }
 
-    private End ended(String id, JsonNode stored) {
-        End end = End.parse(stored);
-        if (end.status() != Status.UNKNOWN) {
-            onEnd.accept(id, end.status());
-        }
-        return end;
+  private End ended(String id, JsonNode stored) {
+    End end = End.parse(stored);
+    if (end.status() != Status.UNKNOWN) {
+      onEnd.accept(id, end.status());
     }
-
-    /** Reads how some jobs ended; each of them is told of. */
-    void readEnds(Collection<String> ids, Consumer<Map<String, End>> then) {
-        if (ids.isEmpty()) {
-            then.accept(Map.of());
-        } else if (ids.size() <= FEW) {
-            Gathered<End> read = new Gathered<>(ids.size(), then);
-            ids.forEach(id -> readEnd(id, end -> read.add(id, end)));
-        } else {
-            listEnds(new TreeSet<>(ids), new HashMap<>(), then);
-        }
+    return end;
+  }
+
+  /** Reads how some jobs ended; each of them is told of. */
+  void readEnds(Collection<String> ids, Consumer<Map<String, End>> then) {
+    if (ids.isEmpty()) {
+      then.accept(Map.of());
+    } else if (ids.size() <= FEW) {
+      Gathered<End> read = new Gathered<>(ids.size(), then);
+      ids.forEach(id -> readEnd(id, end -> read.add(id, end)));
+    } else {
+      listEnds(new TreeSet<>(ids), new HashMap<>(), then);
     }
-
-    /** Lists the ends from the first job that is left on; one page tells of all jobs up to its last key. */
-    private void listEnds(TreeSet<String> left, Map<String, End> read, Consumer<Map<String, End>> then) {
-        if (left.isEmpty()) {
+  }
+
+  /**
+   * Lists the ends from the first job that is left on; one page tells of all jobs up to its last
+   * key.
+   */
+  private void listEnds(
+      TreeSet<String> left, Map<String, End> read, Consumer<Map<String, End>> then) {
+    if (left.isEmpty()) {
+      then.accept(read);
+      return;
+    }
+    String first = left.first();
+    // A prefix of a key comes before it, and a listing begins after the key that it is given.
+    String before = Keys.end(first.substring(0, first.length() - 1));
+    state.listPage(
+        Keys.FINALS,
+        before,
+        page -> {
+          if (page == null) {
+            left.forEach(id -> read.put(id, new End(Status.UNKNOWN, 0)));
             then.accept(read);
             return;
-        }
-        String first = left.first();
-        // A prefix of a key comes before it, and a listing begins after the key that it is given.
-        String before = Keys.end(first.substring(0, first.length() - 1));
-        state.listPage(Keys.FINALS, before, page -> {
-            if (page == null) {
-                left.forEach(id -> read.put(id, new End(Status.UNKNOWN, 0)));
-                then.accept(read);
-                return;
-            }
-            for (StateClient.Entry entry : page.entries()) {
-                String id = Keys.idOf(entry.key());
-                if (left.remove(id)) {
-                    read.put(id, ended(id, entry.value()));
-                }
-            }
-            String last = page.last() ? null : Keys.idOf(page.entries().get(page.entries().size() - 1).key());
-            while (!left.isEmpty() && (last == null || left.first().compareTo(last) < 0)) {
-                read.put(left.pollFirst(), new End(Status.ABSENT, 0));
+          }
+          for (StateClient.Entry entry : page.entries()) {
+            String id = Keys.idOf(entry.key());
+            if (left.remove(id)) {
+              read.put(id, ended(id, entry.value()));
             }
-            listEnds(left, read, then);
+          }
+          String last =
+              page.last() ? null : Keys.idOf(page.entries().get(page.entries().size() - 1).key());
+          while (!left.isEmpty() && (last == null || left.first().compareTo(last) < 0)) {
+            read.put(left.pollFirst(), new End(Status.ABSENT, 0));
+          }
+          listEnds(left, read, then);
         });
+  }
+
+  /** Answers that come one by one, handed on once all are there. */
+  private static final class Gathered<T> {
+    private final int expected;
+    private final Map<String, T> all = new HashMap<>();
+    private final Consumer<Map<String, T>> then;
+
+    Gathered(int expected, Consumer<Map<String, T>> then) {
+      this.expected = expected;
+      this.then = then;
     }
 
-    /** Answers that come one by one, handed on once all are there. */
-    private static final class Gathered<T> {
-        private final int expected;
-        private final Map<String, T> all = new HashMap<>();
-        private final Consumer<Map<String, T>> then;
-
-        Gathered(int expected, Consumer<Map<String, T>> then) {
-            this.expected = expected;
-            this.then = then;
-        }
-
-        void add(String id, T answer) {
-            all.put(id, answer);
-            if (all.size() == expected) {
-                then.accept(all);
-            }
-        }
+    void add(String id, T answer) {
+      all.put(id, answer);
+      if (all.size() == expected) {
+        then.accept(all);
+      }
     }
+  }
 }
