--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -14,222 +14,317 @@
 import org.saffronshore.http.Loop;
 import org.saffronshore.wire.Json;
 
-/** The state service as one node uses it: within the node's budget, and with a time limit on every request. */
+/**
+ * The state service as one node uses it: within the node's budget, and with a time limit on every
+ * request.
+ */
 public final class StateClient {
-    /** What is answered here, without asking, when the node's budget is spent. */
-    private static final Answer OVER_BUDGET = new Answer(429, new byte[0]);
-
-    /** What users' requests are answered here while the service says nothing at all: they need not wait for that. */
-    private static final Answer SILENT = new Answer(503, new byte[0]);
-
-    /** Users wait two seconds for the answer to a question; this leaves a node time to say that it has none. */
-    public static final double TIMEOUT_S = 1.5;
-    private static final int PAGE = 500;
-    private static final int SILENT_AFTER = 3;
-    /** After a refusal for the rate the later limits are kept to for so many leases. */
-    private static final double LOWER_LEASES = 4;
-    /** The leader's part of all requests and of all writes; the rest is shared out evenly, to it as well. */
-    private static final double LEADER_REQUESTS = 0.15;
-    private static final double LEADER_WRITES = 0.3;
-
-    public record Entry(String key, JsonNode value, long version) {}
-
-    /** All keys under a prefix, and the revision from which a watch on them continues. */
-    public record Listing(List<Entry> entries, long revision) {}
-
-    /** Some of the keys under a prefix, in their order, at one moment; {@code last} when none come after them. */
-    public record Page(List<Entry> entries, long revision, boolean last) {}
-
-    private final Loop loop;
-    private final Client client;
-    private final Settings settings;
-    private final Budget requests;
-    private final Budget writes;
-    /** When the service last answered a request of this node with anything but a refusal. */
-    private double answeredAt = Double.NEGATIVE_INFINITY;
-
-    private boolean leading;
-    /** Until then the later limits are taken to hold. */
-    private double lowerUntil = Double.NEGATIVE_INFINITY;
-
-    /** Requests in a row that got no answer at all, and when the last of them was made. */
-    private int lost;
-    private double triedAt;
-
-    public StateClient(Loop loop, Client client, Settings settings) {
-        this.loop = loop;
-        this.client = client;
-        this.settings = settings;
-        this.requests = new Budget(loop, share(settings.stateRps(), LEADER_REQUESTS), 1);
-        this.writes = new Budget(loop, share(settings.stateWriteRps(), LEADER_WRITES), 1.5);
+  /** What is answered here, without asking, when the node's budget is spent. */
+  private static final Answer OVER_BUDGET = new Answer(429, new byte[0]);
+
+  /**
+   * What users' requests are answered here while the service says nothing at all: they need not
+   * wait for that.
+   */
+  private static final Answer SILENT = new Answer(503, new byte[0]);
+
+  /**
+   * Users wait two seconds for the answer to a question; this leaves a node time to say that it has
+   * none.
+   */
+  public static final double TIMEOUT_S = 1.5;
+
+  private static final int PAGE = 500;
+  private static final int SILENT_AFTER = 3;
+
+  /** After a refusal for the rate the later limits are kept to for so many leases. */
+  private static final double LOWER_LEASES = 4;
+
+  /**
+   * The leader's part of all requests and of all writes; the rest is shared out evenly, to it as
+   * well.
+   */
+  private static final double LEADER_REQUESTS = 0.15;
+
+  private static final double LEADER_WRITES = 0.3;
+
+  public record Entry(String key, JsonNode value, long version) {}
+
+  /** All keys under a prefix, and the revision from which a watch on them continues. */
+  public record Listing(List<Entry> entries, long revision) {}
+
+  /**
+   * Some of the keys under a prefix, in their order, at one moment; {@code last} when none come
+   * after them.
+   */
+  public record Page(List<Entry> entries, long revision, boolean last) {}
+
+  private final Loop loop;
+  private final Client client;
+  private final Settings settings;
+  private final Budget requests;
+  private final Budget writes;
+
+  /** When the service last answered a request of this node with anything but a refusal. */
+  private double answeredAt = Double.NEGATIVE_INFINITY;
+
+  private boolean leading;
+
+  /** Until then the later limits are taken to hold. */
+  private double lowerUntil = Double.NEGATIVE_INFINITY;
+
+  /** Requests in a row that got no answer at all, and when the last of them was made. */
+  private int lost;
+
+  private double triedAt;
+
+  public StateClient(Loop loop, Client client, Settings settings) {
+    this.loop = loop;
+    this.client = client;
+    this.settings = settings;
+    this.requests = new Budget(loop, share(settings.stateRps(), LEADER_REQUESTS), 1);
+    this.writes = new Budget(loop, share(settings.stateWriteRps(), LEADER_WRITES), 1.5);
+  }
+
+  private double share(double all, double leaders) {
+    return all * ((1 - leaders) / settings.controllers() + (leading ? leaders : 0));
+  }
+
+  /** The leader writes for the whole cluster, so a part of what the service takes is its own. */
+  public void leading(boolean now) {
+    leading = now;
+    shareOut();
+  }
+
+  /**
+   * Each node finds by itself that the service takes less than it did; what it takes is shared as
+   * before.
+   */
+  private void shareOut() {
+    boolean lower = loop.now() < lowerUntil;
+    requests.share(
+        share(
+            lower ? Math.min(settings.stateRps(), settings.laterStateRps()) : settings.stateRps(),
+            LEADER_REQUESTS));
+    writes.share(
+        share(
+            lower
+                ? Math.min(settings.stateWriteRps(), settings.laterStateWriteRps())
+                : settings.stateWriteRps(),
+            LEADER_WRITES));
+  }
+
+  /** The service itself refused for its rate: its later limits may have come. */
+  private void refusedForItsRate() {
+    if (settings.laterStateRps() < settings.stateRps()
+        || settings.laterStateWriteRps() < settings.stateWriteRps()) {
+      lowerUntil = loop.now() + LOWER_LEASES * settings.leaseS();
+      shareOut();
+      loop.after(LOWER_LEASES * settings.leaseS(), this::shareOut);
     }
-
-    private double share(double all, double leaders) {
-        return all * ((1 - leaders) / settings.controllers() + (leading ? leaders : 0));
-    }
-
-    /** The leader writes for the whole cluster, so a part of what the service takes is its own. */
-    public void leading(boolean now) {
-        leading = now;
-        shareOut();
-    }
-
-    /** Each node finds by itself that the service takes less than it did; what it takes is shared as before. */
-    private void shareOut() {
-        boolean lower = loop.now() < lowerUntil;
-        requests.share(share(lower ? Math.min(settings.stateRps(), settings.laterStateRps()) : settings.stateRps(),
-                LEADER_REQUESTS));
-        writes.share(share(lower ? Math.min(settings.stateWriteRps(), settings.laterStateWriteRps())
-                : settings.stateWriteRps(), LEADER_WRITES));
-    }
-
-    /** The service itself refused for its rate: its later limits may have come. */
-    private void refusedForItsRate() {
-        if (settings.laterStateRps() < settings.stateRps() || settings.laterStateWriteRps() < settings.stateWriteRps()) {
-            lowerUntil = loop.now() + LOWER_LEASES * settings.leaseS();
-            shareOut();
-            loop.after(LOWER_LEASES * settings.leaseS(), this::shareOut);
-        }
-    }
-
-    /** How many requests in a second this node may make. */
-    public double requestShare() {
-        return requests.perSecond();
-    }
-
-    /** How many changes users' requests may make now. */
-    public int writable() {
-        return (int) writes.available();
+  }
+
+  /** How many requests in a second this node may make. */
+  public double requestShare() {
+    return requests.perSecond();
+  }
+
+  /** How many changes users' requests may make now. */
+  public int writable() {
+    return (int) writes.available();
+  }
+
+  public double answeredAt() {
+    return answeredAt;
+  }
+
+  private void send(
+      String method,
+      String path,
+      byte[] body,
+      double timeoutS,
+      boolean vital,
+      Answer.Receiver then) {
+    if (!requests.take(1, vital)) {
+      loop.soon(() -> then.receive(OVER_BUDGET));
+      return;
     }
-
-    public double answeredAt() {
-        return answeredAt;
+    if (lost >= SILENT_AFTER && !vital && loop.now() < triedAt + timeoutS) {
+      loop.soon(() -> then.receive(SILENT));
+      return;
     }
-
-    private void send(String method, String path, byte[] body, double timeoutS, boolean vital, Answer.Receiver then) {
-        if (!requests.take(1, vital)) {
-            loop.soon(() -> then.receive(OVER_BUDGET));
-            return;
-        }
-        if (lost >= SILENT_AFTER && !vital && loop.now() < triedAt + timeoutS) {
-            loop.soon(() -> then.receive(SILENT));
-            return;
-        }
-        triedAt = loop.now();
-        client.send(settings.state(), method, path, body, timeoutS, answer -> {
-            lost = answer.status() > 0 ? 0 : lost + 1;
-            if (answer.status() > 0 && answer.status() < 429) {
-                answeredAt = loop.now();
-            } else if (answer.status() == 429) {
-                refusedForItsRate();
-            }
-            then.receive(answer);
+    triedAt = loop.now();
+    client.send(
+        settings.state(),
+        method,
+        path,
+        body,
+        timeoutS,
+        answer -> {
+          lost = answer.status() > 0 ? 0 : lost + 1;
+          if (answer.status() > 0 && answer.status() < 429) {
+            answeredAt = loop.now();
+          } else if (answer.status() == 429) {
+            refusedForItsRate();
+          }
+          then.receive(answer);
         });
+  }
+
+  /**
+   * 200 with the entry, 404 when the key does not exist; anything else says nothing about the key.
+   */
+  public void get(String key, boolean vital, Answer.Receiver then) {
+    send("GET", "/kv/" + key, null, TIMEOUT_S, vital, then);
+  }
+
+  public void commit(Txn txn, boolean vital, Answer.Receiver then) {
+    if (txn.changes() > 0 && !writes.take(txn.changes(), vital)) {
+      loop.soon(() -> then.receive(OVER_BUDGET));
+      return;
     }
-
-    /** 200 with the entry, 404 when the key does not exist; anything else says nothing about the key. */
-    public void get(String key, boolean vital, Answer.Receiver then) {
-        send("GET", "/kv/" + key, null, TIMEOUT_S, vital, then);
+    send("POST", "/commit", txn.bytes(), TIMEOUT_S, vital, then);
+  }
+
+  public void grant(double lifeS, Answer.Receiver then) {
+    send(
+        "POST",
+        "/holds",
+        Json.bytes(Json.object().put("LifeMs", Math.round(lifeS * 1000))),
+        TIMEOUT_S,
+        true,
+        then);
+  }
+
+  public void renew(long permit, double timeoutS, Answer.Receiver then) {
+    send("POST", "/holds/" + permit + "/renew", Json.bytes(Json.object()), timeoutS, true, then);
+  }
+
+  public void release(long permit, Answer.Receiver then) {
+    send("DELETE", "/holds/" + permit, null, TIMEOUT_S, true, then);
+  }
+
+  /**
+   * The ids of the jobs whose keys a refused transaction names; none when it was not refused for
+   * its guards.
+   */
+  public static Set<String> failedIds(Answer answer) {
+    Set<String> failed = new HashSet<>();
+    JsonNode body = answer.status() == 409 ? answer.json() : null;
+    if (body != null) {
+      body.path("failed").forEach(key -> failed.add(Keys.idOf(key.asText())));
     }
-
-    public void commit(Txn txn, boolean vital, Answer.Receiver then) {
-        if (txn.changes() > 0 && !writes.take(txn.changes(), vital)) {
-            loop.soon(() -> then.receive(OVER_BUDGET));
-            return;
-        }
-        send("POST", "/commit", txn.bytes(), TIMEOUT_S, vital, then);
-    }
-
-    public void grant(double lifeS, Answer.Receiver then) {
-        send("POST", "/holds", Json.bytes(Json.object().put("LifeMs", Math.round(lifeS * 1000))), TIMEOUT_S, true, then);
-    }
-
-    public void renew(long permit, double timeoutS, Answer.Receiver then) {
-        send("POST", "/holds/" + permit + "/renew", Json.bytes(Json.object()), timeoutS, true, then);
+    return failed;
+  }
+
+  /** Reads every key under a prefix; null when a page could not be had. */
+  public void list(String prefix, boolean vital, Consumer<Listing> then) {
+    list(prefix, vital, "", new ArrayList<>(), -1, then);
+  }
+
+  /** Reads all keys under several prefixes, one after the other; null when any could not be had. */
+  public void lists(List<String> prefixes, Consumer<Map<String, Listing>> then) {
+    lists(prefixes, new HashMap<>(), then);
+  }
+
+  private void lists(
+      List<String> prefixes, Map<String, Listing> read, Consumer<Map<String, Listing>> then) {
+    if (read.size() == prefixes.size()) {
+      then.accept(read);
+      return;
     }
-
-    public void release(long permit, Answer.Receiver then) {
-        send("DELETE", "/holds/" + permit, null, TIMEOUT_S, true, then);
-    }
-
-    /** The ids of the jobs whose keys a refused transaction names; none when it was not refused for its guards. */
-    public static Set<String> failedIds(Answer answer) {
-        Set<String> failed = new HashSet<>();
-        JsonNode body = answer.status() == 409 ? answer.json() : null;
-        if (body != null) {
-            body.path("failed").forEach(key -> failed.add(Keys.idOf(key.asText())));
-        }
-        return failed;
-    }
-
-    /** Reads every key under a prefix; null when a page could not be had. */
-    public void list(String prefix, boolean vital, Consumer<Listing> then) {
-        list(prefix, vital, "", new ArrayList<>(), -1, then);
-    }
-
-    /** Reads all keys under several prefixes, one after the other; null when any could not be had. */
-    public void lists(List<String> prefixes, Consumer<Map<String, Listing>> then) {
-        lists(prefixes, new HashMap<>(), then);
-    }
-
-    private void lists(List<String> prefixes, Map<String, Listing> read, Consumer<Map<String, Listing>> then) {
-        if (read.size() == prefixes.size()) {
-            then.accept(read);
-            return;
-        }
-        String prefix = prefixes.get(read.size());
-        list(prefix, true, listing -> {
-            if (listing == null) {
-                then.accept(null);
-            } else {
-                read.put(prefix, listing);
-                lists(prefixes, read, then);
-            }
+    String prefix = prefixes.get(read.size());
+    list(
+        prefix,
+        true,
+        listing -> {
+          if (listing == null) {
+            then.accept(null);
+          } else {
+            read.put(prefix, listing);
+            lists(prefixes, read, then);
+          }
         });
-    }
-
-    private void list(String prefix, boolean vital, String after, List<Entry> entries, long first, Consumer<Listing> then) {
-        page(prefix, vital, after, page -> {
-            if (page == null) {
-                then.accept(null);
-                return;
-            }
-            entries.addAll(page.entries);
-            // Pages may be of different moments: a watch from the first one's revision catches up with the rest.
-            long revision = first >= 0 ? first : page.revision;
-            if (page.last) {
-                then.accept(new Listing(entries, revision));
-            } else {
-                list(prefix, vital, page.entries.get(page.entries.size() - 1).key(), entries, revision, then);
-            }
+  }
+
+  private void list(
+      String prefix,
+      boolean vital,
+      String after,
+      List<Entry> entries,
+      long first,
+      Consumer<Listing> then) {
+    page(
+        prefix,
+        vital,
+        after,
+        page -> {
+          if (page == null) {
+            then.accept(null);
+            return;
+          }
+          entries.addAll(page.entries);
+          // Pages may be of different moments: a watch from the first one's revision catches up
+          // with the rest.
+          long revision = first >= 0 ? first : page.revision;
+          if (page.last) {
+            then.accept(new Listing(entries, revision));
+          } else {
+            list(
+                prefix,
+                vital,
+                page.entries.get(page.entries.size() - 1).key(),
+                entries,
+                revision,
+                then);
+          }
         });
-    }
-
-    /** Reads the keys under a prefix that come after a key, as far as one answer holds them; null when it could not be had. */
-    public void listPage(String prefix, String after, Consumer<Page> then) {
-        page(prefix, false, after, then);
-    }
-
-    private void page(String prefix, boolean vital, String after, Consumer<Page> then) {
-        String path = "/kv?Under=" + prefix + (after.isEmpty() ? "" : "&After=" + after) + "&Most=" + PAGE;
-        send("GET", path, null, TIMEOUT_S, vital, answer -> {
-            JsonNode body = answer.ok() ? answer.json() : null;
-            if (body == null || !body.path("Items").isArray()) {
-                then.accept(null);
-                return;
-            }
-            List<Entry> entries = new ArrayList<>();
-            for (JsonNode item : body.get("Items")) {
-                entries.add(new Entry(Json.text(item, "K"), item.get("Data"), Json.count(item, "Stamp", 0)));
-            }
-            boolean last = !Json.flag(body, "Truncated") || entries.isEmpty();
-            then.accept(new Page(entries, Json.count(body, "Ledger", 0), last));
+  }
+
+  /**
+   * Reads the keys under a prefix that come after a key, as far as one answer holds them; null when
+   * it could not be had.
+   */
+  public void listPage(String prefix, String after, Consumer<Page> then) {
+    page(prefix, false, after, then);
+  }
+
+  private void page(String prefix, boolean vital, String after, Consumer<Page> then) {
+    String path =
+        "/kv?Under=" + prefix + (after.isEmpty() ? "" : "&After=" + after) + "&Most=" + PAGE;
+    send(
+        "GET",
+        path,
+        null,
+        TIMEOUT_S,
+        vital,
+        answer -> {
+          JsonNode body = answer.ok() ? answer.json() : null;
+          if (body == null || !body.path("Items").isArray()) {
+            then.accept(null);
+            return;
+          }
+          List<Entry> entries = new ArrayList<>();
+          for (JsonNode item : body.get("Items")) {
+            entries.add(
+                new Entry(Json.text(item, "K"), item.get("Data"), Json.count(item, "Stamp", 0)));
+          }
+          boolean last = !Json.flag(body, "Truncated") || entries.isEmpty();
+          then.accept(new Page(entries, Json.count(body, "Ledger", 0), last));
         });
-    }
-
-    /** Waits for changes under a prefix after a revision: 200 with events, 410 when the revision is too old. */
-    public void watch(String prefix, long after, double holdS, Answer.Receiver then) {
-        send("GET", "/changes?Under=" + prefix + "&After=" + after + "&HoldMs=" + Math.round(holdS * 1000), null,
-                holdS + TIMEOUT_S, true, then);
-    }
+  }
+
+  /**
+   * Waits for changes under a prefix after a revision: 200 with events, 410 when the revision is
+   * too old.
+   */
+  public void watch(String prefix, long after, double holdS, Answer.Receiver then) {
+    send(
+        "GET",
+        "/changes?Under=" + prefix + "&After=" + after + "&HoldMs=" + Math.round(holdS * 1000),
+        null,
+        holdS + TIMEOUT_S,
+        true,
+        then);
+  }
 }
--- a/src/main/java/org/saffronshore/state/SubmissionQueue.java
+++ b/src/main/java/org/saffronshore/state/SubmissionQueue.java
@@ -12,199 +12,225 @@
 import org.saffronshore.http.Answer;
 import org.saffronshore.http.Loop;
 import org.saffronshore.state.JobStore.Accepted;
-import org.saffronshore.state.JobStore.Status;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Json;
 
-/** Accepts jobs, each once. Submissions that arrive while a commit is under way share the next one. */
+/**
+ * Accepts jobs, each once. Submissions that arrive while a commit is under way share the next one.
+ */
 final class SubmissionQueue {
-    /** How long to wait for the write budget. */
-    private static final double PAUSE_S = 0.05;
-    /** A transaction may be 64 KiB long; this leaves room for its guards. */
-    private static final int MOST_BYTES = 40 * 1024;
-    /** A job's own guards: it is not open, and has not ended. */
-    private static final int OWN_GUARDS = 2;
-
-    private static final class Submission {
-        final JobSpec job;
-        final JsonNode stored;
-        final int bytes;
-        final Consumer<Accepted> then;
-        /** Open jobs, all that this one needs, of which the commit proves that they are still open. */
-        Set<String> proven = Set.of();
-        /** Whether that is all that could be cancelled: if the commit succeeds, this job is not. */
-        boolean complete;
-        /** The state service refused a transaction with this one and others as malformed: one of them is at fault. */
-        boolean alone;
-
-        Submission(JobSpec job, JsonNode stored, Consumer<Accepted> then) {
-            this.job = job;
-            this.stored = stored;
-            this.bytes = Json.bytes(stored).length;
-            this.then = then;
-        }
+  /** How long to wait for the write budget. */
+  private static final double PAUSE_S = 0.05;
 
-        int guards() {
-            return OWN_GUARDS + proven.size();
-        }
-    }
+  /** A transaction may be 64 KiB long; this leaves room for its guards. */
+  private static final int MOST_BYTES = 40 * 1024;
 
-    private final Loop loop;
-    private final StateClient state;
-    private final JobCache cache;
-    private final JobReader reader;
-    private final int mostChanges;
-    private final int mostGuards;
-    private final int capacity;
-    private final ArrayDeque<Submission> waiting = new ArrayDeque<>();
-    private boolean committing;
-
-    SubmissionQueue(Loop loop, StateClient state, JobCache cache, JobReader reader, Settings settings) {
-        this.loop = loop;
-        this.state = state;
-        this.cache = cache;
-        this.reader = reader;
-        this.mostChanges = Math.max(1, settings.txnOps());
-        this.mostGuards = Txn.mostGuards(settings);
-        // About what the write budget takes in a second.
-        this.capacity = (int) Math.max(4, settings.stateWriteRps() / settings.controllers());
-    }
+  /** A job's own guards: it is not open, and has not ended. */
+  private static final int OWN_GUARDS = 2;
 
-    /** Accepts a job if all jobs that it needs were ever accepted, which is read first as far as it is not known. */
-    void accept(JobSpec job, long submittedMs, Consumer<Accepted> then) {
-        var stored = Json.object().put("At", submittedMs);
-        stored.set("Spec", job.toJson());
-        accept(new Submission(job, stored, then));
-    }
+  private static final class Submission {
+    final JobSpec job;
+    final JsonNode stored;
+    final int bytes;
+    final Consumer<Accepted> then;
 
-    private void accept(Submission submission) {
-        if (waiting.size() >= capacity) {
-            submission.then.accept(Accepted.OVERLOADED);
-            return;
-        }
-        reader.readAll(submission.job.dependencies(), worst -> {
-            switch (worst) {
-                case ABSENT -> submission.then.accept(Accepted.MISSING);
-                case UNKNOWN -> submission.then.accept(Accepted.UNKNOWN);
-                default -> {
-                    waiting.add(submission);
-                    if (!committing) {
-                        commitNext();
-                    }
-                }
-            }
-        });
-    }
+    /** Open jobs, all that this one needs, of which the commit proves that they are still open. */
+    Set<String> proven = Set.of();
+
+    /** Whether that is all that could be cancelled: if the commit succeeds, this job is not. */
+    boolean complete;
 
     /**
-     * That the needed jobs were accepted never changes and is no matter for the commit. But that none of them is
-     * cancelled may be proven with it, where so many guards fit, which saves a look at them afterwards.
+     * The state service refused a transaction with this one and others as malformed: one of them is
+     * at fault.
      */
-    private void prove(Submission submission) {
-        JobCache.Closure needed = cache.closure(submission.job.dependencies());
-        submission.complete = needed.unread().isEmpty() && !needed.cancelled()
-                && OWN_GUARDS + needed.open().size() <= mostGuards;
-        submission.proven = submission.complete ? needed.open() : Set.of();
+    boolean alone;
+
+    Submission(JobSpec job, JsonNode stored, Consumer<Accepted> then) {
+      this.job = job;
+      this.stored = stored;
+      this.bytes = Json.bytes(stored).length;
+      this.then = then;
     }
 
-    private void commitNext() {
-        int most = Math.min(mostChanges, state.writable());
-        if (most < 1) {
-            // The queue is short: what waits here is written within about a second.
-            committing = true;
-            loop.after(PAUSE_S, this::commitNext);
-            return;
-        }
-        List<Submission> batch = takeBatch(most);
-        Txn txn = new Txn();
-        for (Submission submission : batch) {
-            String id = submission.job.id();
-            txn.guard(Keys.job(id), 0).guard(Keys.end(id), 0);
-            submission.proven.forEach(needed -> txn.guard(Keys.job(needed), cache.record(needed).version()));
-            txn.set(Keys.job(id), submission.stored);
-        }
-        committing = true;
-        state.commit(txn, false, answer -> {
-            committing = false;
-            committed(batch, answer);
-            if (!committing && !waiting.isEmpty()) {
+    int guards() {
+      return OWN_GUARDS + proven.size();
+    }
+  }
+
+  private final Loop loop;
+  private final StateClient state;
+  private final JobCache cache;
+  private final JobReader reader;
+  private final int mostChanges;
+  private final int mostGuards;
+  private final int capacity;
+  private final ArrayDeque<Submission> waiting = new ArrayDeque<>();
+  private boolean committing;
+
+  SubmissionQueue(
+      Loop loop, StateClient state, JobCache cache, JobReader reader, Settings settings) {
+    this.loop = loop;
+    this.state = state;
+    this.cache = cache;
+    this.reader = reader;
+    this.mostChanges = Math.max(1, settings.txnOps());
+    this.mostGuards = Txn.mostGuards(settings);
+    // About what the write budget takes in a second.
+    this.capacity = (int) Math.max(4, settings.stateWriteRps() / settings.controllers());
+  }
+
+  /**
+   * Accepts a job if all jobs that it needs were ever accepted, which is read first as far as it is
+   * not known.
+   */
+  void accept(JobSpec job, long submittedMs, Consumer<Accepted> then) {
+    var stored = Json.object().put("At", submittedMs);
+    stored.set("Spec", job.toJson());
+    accept(new Submission(job, stored, then));
+  }
+
+  private void accept(Submission submission) {
+    if (waiting.size() >= capacity) {
+      submission.then.accept(Accepted.OVERLOADED);
+      return;
+    }
+    reader.readAll(
+        submission.job.dependencies(),
+        worst -> {
+          switch (worst) {
+            case ABSENT -> submission.then.accept(Accepted.MISSING);
+            case UNKNOWN -> submission.then.accept(Accepted.UNKNOWN);
+            default -> {
+              waiting.add(submission);
+              if (!committing) {
                 commitNext();
+              }
             }
+          }
         });
+  }
+
+  /**
+   * That the needed jobs were accepted never changes and is no matter for the commit. But that none
+   * of them is cancelled may be proven with it, where so many guards fit, which saves a look at
+   * them afterwards.
+   */
+  private void prove(Submission submission) {
+    JobCache.Closure needed = cache.closure(submission.job.dependencies());
+    submission.complete =
+        needed.unread().isEmpty()
+            && !needed.cancelled()
+            && OWN_GUARDS + needed.open().size() <= mostGuards;
+    submission.proven = submission.complete ? needed.open() : Set.of();
+  }
+
+  private void commitNext() {
+    int most = Math.min(mostChanges, state.writable());
+    if (most < 1) {
+      // The queue is short: what waits here is written within about a second.
+      committing = true;
+      loop.after(PAUSE_S, this::commitNext);
+      return;
+    }
+    List<Submission> batch = takeBatch(most);
+    Txn txn = new Txn();
+    for (Submission submission : batch) {
+      String id = submission.job.id();
+      txn.guard(Keys.job(id), 0).guard(Keys.end(id), 0);
+      submission.proven.forEach(
+          needed -> txn.guard(Keys.job(needed), cache.record(needed).version()));
+      txn.set(Keys.job(id), submission.stored);
     }
+    committing = true;
+    state.commit(
+        txn,
+        false,
+        answer -> {
+          committing = false;
+          committed(batch, answer);
+          if (!committing && !waiting.isEmpty()) {
+            commitNext();
+          }
+        });
+  }
 
-    private List<Submission> takeBatch(int most) {
-        List<Submission> batch = new ArrayList<>();
-        Set<String> ids = new HashSet<>();
-        int bytes = 0;
-        int guards = 0;
-        while (!waiting.isEmpty() && batch.size() < most) {
-            Submission next = waiting.peek();
-            prove(next);
-            boolean fits = !next.alone && bytes + next.bytes <= MOST_BYTES && guards + next.guards() <= mostGuards;
-            if (ids.contains(next.job.id()) || !batch.isEmpty() && !fits) {
-                break;
-            }
-            batch.add(waiting.poll());
-            ids.add(next.job.id());
-            bytes += next.bytes;
-            guards += next.guards();
-            if (next.alone) {
-                break;
-            }
-        }
-        return batch;
+  private List<Submission> takeBatch(int most) {
+    List<Submission> batch = new ArrayList<>();
+    Set<String> ids = new HashSet<>();
+    int bytes = 0;
+    int guards = 0;
+    while (!waiting.isEmpty() && batch.size() < most) {
+      Submission next = waiting.peek();
+      prove(next);
+      boolean fits =
+          !next.alone && bytes + next.bytes <= MOST_BYTES && guards + next.guards() <= mostGuards;
+      if (ids.contains(next.job.id()) || !batch.isEmpty() && !fits) {
+        break;
+      }
+      batch.add(waiting.poll());
+      ids.add(next.job.id());
+      bytes += next.bytes;
+      guards += next.guards();
+      if (next.alone) {
+        break;
+      }
     }
+    return batch;
+  }
 
-    private void committed(List<Submission> batch, Answer answer) {
-        if (answer.status() == 409) {
-            refused(batch, StateClient.failedIds(answer));
-            return;
-        }
-        if (answer.status() == 400 && batch.size() > 1) {
-            Collections.reverse(batch);
-            for (Submission submission : batch) {
-                submission.alone = true;
-                waiting.addFirst(submission);
-            }
-            return;
-        }
-        long version = answer.ok() && answer.json() != null ? Json.count(answer.json(), "Ledger", 0) : 0;
-        for (Submission submission : batch) {
-            if (answer.ok()) {
-                if (version > 0) {
-                    cache.putRecord(submission.job.id(), new JobCache.JobRecord(version, submission.job.dependencies()));
-                }
-                submission.then.accept(submission.complete ? Accepted.NEW : Accepted.NEW_UNPROVEN);
-            } else {
-                submission.then.accept(answer.status() == 429 ? Accepted.OVERLOADED : Accepted.UNKNOWN);
-            }
+  private void committed(List<Submission> batch, Answer answer) {
+    if (answer.status() == 409) {
+      refused(batch, StateClient.failedIds(answer));
+      return;
+    }
+    if (answer.status() == 400 && batch.size() > 1) {
+      Collections.reverse(batch);
+      for (Submission submission : batch) {
+        submission.alone = true;
+        waiting.addFirst(submission);
+      }
+      return;
+    }
+    long version =
+        answer.ok() && answer.json() != null ? Json.count(answer.json(), "Ledger", 0) : 0;
+    for (Submission submission : batch) {
+      if (answer.ok()) {
+        if (version > 0) {
+          cache.putRecord(
+              submission.job.id(), new JobCache.JobRecord(version, submission.job.dependencies()));
         }
+        submission.then.accept(submission.complete ? Accepted.NEW : Accepted.NEW_UNPROVEN);
+      } else {
+        submission.then.accept(answer.status() == 429 ? Accepted.OVERLOADED : Accepted.UNKNOWN);
+      }
     }
+  }
 
-    private void refused(List<Submission> batch, Set<String> failed) {
-        List<Submission> unaffected = new ArrayList<>();
-        boolean explained = false;
-        for (Submission submission : batch) {
-            if (failed.contains(submission.job.id())) {
-                explained = true;
-                submission.then.accept(Accepted.KNOWN);
-            } else if (!Collections.disjoint(submission.proven, failed)) {
-                // A job that it needs has ended since that was read: its end is read, and the submission tried again.
-                explained = true;
-                submission.proven.stream().filter(failed::contains).forEach(cache::dropRecord);
-                accept(submission);
-            } else {
-                unaffected.add(submission);
-            }
-        }
-        Collections.reverse(unaffected);
-        for (Submission submission : unaffected) {
-            if (explained) {
-                waiting.addFirst(submission);
-            } else {
-                submission.then.accept(Accepted.UNKNOWN);
-            }
-        }
+  private void refused(List<Submission> batch, Set<String> failed) {
+    List<Submission> unaffected = new ArrayList<>();
+    boolean explained = false;
+    for (Submission submission : batch) {
+      if (failed.contains(submission.job.id())) {
+        explained = true;
+        submission.then.accept(Accepted.KNOWN);
+      } else if (!Collections.disjoint(submission.proven, failed)) {
+        // A job that it needs has ended since that was read: its end is read, and the submission
+        // tried again.
+        explained = true;
+        submission.proven.stream().filter(failed::contains).forEach(cache::dropRecord);
+        accept(submission);
+      } else {
+        unaffected.add(submission);
+      }
+    }
+    Collections.reverse(unaffected);
+    for (Submission submission : unaffected) {
+      if (explained) {
+        waiting.addFirst(submission);
+      } else {
+        submission.then.accept(Accepted.UNKNOWN);
+      }
     }
+  }
 }
--- a/src/main/java/org/saffronshore/wire/Fields.java
+++ b/src/main/java/org/saffronshore/wire/Fields.java
@@ -7,100 +7,101 @@
 /** Checked access to the fields of an object; every failure names the field by its path. */
 public record Fields(JsonNode node, String path) {
 
-    public static Fields of(JsonNode node, String path) throws InvalidField {
-        if (node == null || !node.isObject()) {
-            throw new InvalidField(path.isEmpty() ? "body" : path, "must be an object");
-        }
-        return new Fields(node, path);
+  public static Fields of(JsonNode node, String path) throws InvalidField {
+    if (node == null || !node.isObject()) {
+      throw new InvalidField(path.isEmpty() ? "body" : path, "must be an object");
     }
+    return new Fields(node, path);
+  }
 
-    private String at(String field) {
-        return path.isEmpty() ? field : path + "." + field;
-    }
+  private String at(String field) {
+    return path.isEmpty() ? field : path + "." + field;
+  }
 
-    private static boolean absent(JsonNode value) {
-        return value == null || value.isNull();
-    }
+  private static boolean absent(JsonNode value) {
+    return value == null || value.isNull();
+  }
 
-    public boolean has(String field) {
-        return !absent(node.get(field));
-    }
+  public boolean has(String field) {
+    return !absent(node.get(field));
+  }
 
-    public Fields object(String field) throws InvalidField {
-        return of(node.get(field), at(field));
-    }
+  public Fields object(String field) throws InvalidField {
+    return of(node.get(field), at(field));
+  }
 
-    public List<Fields> objects(String field) throws InvalidField {
-        List<Fields> all = new ArrayList<>();
-        JsonNode values = node.get(field);
-        if (absent(values) || !values.isArray()) {
-            throw new InvalidField(at(field), "must be a list");
-        }
-        for (int i = 0; i < values.size(); i++) {
-            all.add(of(values.get(i), at(field) + "[" + i + "]"));
-        }
-        return all;
+  public List<Fields> objects(String field) throws InvalidField {
+    List<Fields> all = new ArrayList<>();
+    JsonNode values = node.get(field);
+    if (absent(values) || !values.isArray()) {
+      throw new InvalidField(at(field), "must be a list");
     }
-
-    public String text(String field) throws InvalidField {
-        JsonNode value = node.get(field);
-        if (absent(value) || !value.isTextual() || value.textValue().isEmpty()) {
-            throw new InvalidField(at(field), "must be a non-empty text");
-        }
-        return value.textValue();
+    for (int i = 0; i < values.size(); i++) {
+      all.add(of(values.get(i), at(field) + "[" + i + "]"));
     }
+    return all;
+  }
 
-    public String textOrNull(String field) throws InvalidField {
-        return has(field) ? text(field) : null;
+  public String text(String field) throws InvalidField {
+    JsonNode value = node.get(field);
+    if (absent(value) || !value.isTextual() || value.textValue().isEmpty()) {
+      throw new InvalidField(at(field), "must be a non-empty text");
     }
+    return value.textValue();
+  }
 
-    public List<String> textsOrNull(String field) throws InvalidField {
-        if (!has(field)) {
-            return null;
-        }
-        JsonNode values = node.get(field);
-        if (!values.isArray()) {
-            throw new InvalidField(at(field), "must be a list of texts or null");
-        }
-        List<String> all = new ArrayList<>();
-        for (JsonNode value : values) {
-            if (!value.isTextual()) {
-                throw new InvalidField(at(field), "must be a list of texts or null");
-            }
-            all.add(value.textValue());
-        }
-        return List.copyOf(all);
-    }
+  public String textOrNull(String field) throws InvalidField {
+    return has(field) ? text(field) : null;
+  }
 
-    public double number(String field, double least, double most) throws InvalidField {
-        JsonNode value = node.get(field);
-        if (absent(value) || !value.isNumber()) {
-            throw new InvalidField(at(field), "must be a number");
-        }
-        double number = value.doubleValue();
-        if (!Double.isFinite(number) || number < least || number > most) {
-            throw new InvalidField(at(field), "must be from " + least + " to " + most);
-        }
-        return number;
+  public List<String> textsOrNull(String field) throws InvalidField {
+    if (!has(field)) {
+      return null;
+    }
+    JsonNode values = node.get(field);
+    if (!values.isArray()) {
+      throw new InvalidField(at(field), "must be a list of texts or null");
+    }
+    List<String> all = new ArrayList<>();
+    for (JsonNode value : values) {
+      if (!value.isTextual()) {
+        throw new InvalidField(at(field), "must be a list of texts or null");
+      }
+      all.add(value.textValue());
     }
+    return List.copyOf(all);
+  }
 
-    public double number(String field, double least, double most, double otherwise) throws InvalidField {
-        return has(field) ? number(field, least, most) : otherwise;
+  public double number(String field, double least, double most) throws InvalidField {
+    JsonNode value = node.get(field);
+    if (absent(value) || !value.isNumber()) {
+      throw new InvalidField(at(field), "must be a number");
     }
+    double number = value.doubleValue();
+    if (!Double.isFinite(number) || number < least || number > most) {
+      throw new InvalidField(at(field), "must be from " + least + " to " + most);
+    }
+    return number;
+  }
+
+  public double number(String field, double least, double most, double otherwise)
+      throws InvalidField {
+    return has(field) ? number(field, least, most) : otherwise;
+  }
 
-    public long count(String field, long least, long most) throws InvalidField {
-        double number = number(field, least, most);
-        if (number != Math.rint(number)) {
-            throw new InvalidField(at(field), "must be a whole number");
-        }
-        return node.get(field).longValue();
+  public long count(String field, long least, long most) throws InvalidField {
+    double number = number(field, least, most);
+    if (number != Math.rint(number)) {
+      throw new InvalidField(at(field), "must be a whole number");
     }
+    return node.get(field).longValue();
+  }
 
-    public boolean flag(String field) throws InvalidField {
-        JsonNode value = node.get(field);
-        if (absent(value) || !value.isBoolean()) {
-            throw new InvalidField(at(field), "must be true or false");
-        }
-        return value.booleanValue();
+  public boolean flag(String field) throws InvalidField {
+    JsonNode value = node.get(field);
+    if (absent(value) || !value.isBoolean()) {
+      throw new InvalidField(at(field), "must be true or false");
     }
+    return value.booleanValue();
+  }
 }
--- a/src/main/java/org/saffronshore/wire/TaskId.java
+++ b/src/main/java/org/saffronshore/wire/TaskId.java
@@ -3,23 +3,23 @@
 /** One task of a job, written {@code wk-000412/3}. */
 public record TaskId(String job, int index) {
 
-    public static TaskId parse(String text) throws InvalidField {
-        int slash = text.indexOf('/');
-        try {
-            if (slash > 0) {
-                int index = Integer.parseInt(text.substring(slash + 1));
-                if (index >= 0 && index < JobSpec.MOST_TASKS) {
-                    return new TaskId(text.substring(0, slash), index);
-                }
-            }
-        } catch (NumberFormatException e) {
-            // Falls through to the one message for every ill-formed name.
+  public static TaskId parse(String text) throws InvalidField {
+    int slash = text.indexOf('/');
+    try {
+      if (slash > 0) {
+        int index = Integer.parseInt(text.substring(slash + 1));
+        if (index >= 0 && index < JobSpec.MOST_TASKS) {
+          return new TaskId(text.substring(0, slash), index);
         }
-        throw new InvalidField("Leg", "must have the form wk-000412/3");
+      }
+    } catch (NumberFormatException e) {
+      // Falls through to the one message for every ill-formed name.
     }
+    throw new InvalidField("Leg", "must have the form wk-000412/3");
+  }
 
-    @Override
-    public String toString() {
-        return job + "/" + index;
-    }
+  @Override
+  public String toString() {
+    return job + "/" + index;
+  }
 }
