--- a/src/main/java/org/saffronshore/admin/AdminApi.java
+++ b/src/main/java/org/saffronshore/admin/AdminApi.java
@@ -25,6 +25,9 @@
   private final Set<String> teams;
   private final Supplier<ObjectNode> status;
 
+  /**
+   * @param status what GET /admin/status answers
+   */
   public AdminApi(
       StateClient state, Metrics metrics, Set<String> teams, Supplier<ObjectNode> status) {
     this.state = state;
--- a/src/main/java/org/saffronshore/admin/Metrics.java
+++ b/src/main/java/org/saffronshore/admin/Metrics.java
@@ -16,6 +16,7 @@
  */
 public final class Metrics {
 
+  /** Counters, with the names that operators see. */
   public enum Count {
     SUBMITTED("jobs_submitted"),
     REFUSED("requests_refused"),
@@ -36,6 +37,7 @@
     }
   }
 
+  /** Histograms of durations, with the names that operators see. */
   public enum Latency {
     SUBMIT("submit"),
     POLL("poll"),
@@ -59,6 +61,7 @@
   private final Map<String, DoubleSupplier> gauges = new java.util.LinkedHashMap<>();
   private PrometheusMeterRegistry registry;
 
+  /** Starts with every counter at zero. */
   public Metrics() {
     for (Count c : Count.values()) {
       counts.put(c, new long[1]);
--- a/src/main/java/org/saffronshore/admin/OperatorSettings.java
+++ b/src/main/java/org/saffronshore/admin/OperatorSettings.java
@@ -54,6 +54,7 @@
     return new OperatorSettings(tuning, Map.copyOf(weights));
   }
 
+  /** The form in which settings are stored and shown to operators. */
   public ObjectNode toJson() {
     ObjectNode o =
         Json.object()
--- a/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
+++ b/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
@@ -75,6 +75,8 @@
           "cluster.Cluster$CommandBatch",
           "cluster.CommandDispatcher",
           "cluster.Views",
+          "cluster.JobTable",
+          "cluster.MachineTable",
           "cluster.RunTimes",
           "cluster.MachineRegistry",
           "cluster.UnresponsiveMachineDetector",
@@ -106,7 +108,10 @@
           "wire.TaskId",
           "wire.MachineType",
           "admin.OperatorSettings",
-          "state.Txn"
+          "state.Txn",
+          "state.OpenCheck",
+          "state.SubmissionQueue",
+          "leadership.StoreLease"
         }) {
       try {
         Class.forName("org.saffronshore." + name);
--- a/src/main/java/org/saffronshore/cli/Main.java
+++ b/src/main/java/org/saffronshore/cli/Main.java
@@ -17,6 +17,7 @@
 public final class Main implements Callable<Integer> {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
+  /** Runs a subcommand; a controller goes on running after this returns. */
   public static void main(String[] args) {
     Logging.setUp(System.getenv("LOG_LEVEL"));
     int status = new CommandLine(new Main()).execute(args);
--- a/src/main/java/org/saffronshore/cloud/CloudClient.java
+++ b/src/main/java/org/saffronshore/cloud/CloudClient.java
@@ -27,6 +27,7 @@
   private final Settings settings;
   private final RateLimiter budget;
 
+  /** Uses the cloud within this node's share of its request rate. */
   public CloudClient(Loop loop, Client client, Settings settings) {
     this.loop = loop;
     this.client = client;
@@ -48,6 +49,7 @@
     send("GET", "/machine_types", null, false, then);
   }
 
+  /** Lists machines whose names come after one. */
   public void list(String after, Answer.Receiver then) {
     send(
         "GET",
@@ -69,6 +71,7 @@
     send("POST", "/hosts", body, true, then);
   }
 
+  /** Returns machines; on success they and everything on them are gone. */
   public void returnMachines(Collection<String> machines, Answer.Receiver then) {
     ObjectNode body = Json.object();
     ArrayNode names = body.putArray("Cadres");
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -3,24 +3,13 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.config.Settings;
-import org.saffronshore.config.Settings.Address;
 import org.saffronshore.fleet.Arrivals;
-import org.saffronshore.fleet.DisplacedTasks;
-import org.saffronshore.fleet.Forecast;
 import org.saffronshore.http.Loop;
-import org.saffronshore.scheduling.Host;
-import org.saffronshore.scheduling.PendingJob;
-import org.saffronshore.scheduling.Resources;
-import org.saffronshore.scheduling.SchedulingSettings;
-import org.saffronshore.scheduling.Team;
 import org.saffronshore.wire.Command;
-import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.MachineType;
 import org.saffronshore.wire.Report;
@@ -45,38 +34,19 @@
   /** A machine that fails this many tasks in a row is not trusted any more. */
   public static final int MAX_CONSECUTIVE_FAILURES = 2;
 
-  /** A machine counts as silent when it has let this many reports be missed. */
-  private static final double MISSED_REPORTS = 1.4;
-
   /** The rate at which jobs come is taken over twice this share of a lease. */
   private static final double RATE_LEASES = 0.5;
 
-  /** Reports of machines that are gone may come late, but not by so many leases. */
-  private static final double GONE_LEASES = 20;
-
   private final Loop loop;
   private final Settings settings;
   private final long term;
 
-  /** Version of the leader's key: jobs accepted later cannot have been started by anyone else. */
-  private final long termVersion;
-
   private final double startedAt;
-
-  /** This node has not stood still since then. */
-  private double awakeSince;
-
-  private final Map<String, Job> jobs = new LinkedHashMap<>();
-  private final Map<String, Machine> machines = new LinkedHashMap<>();
-
-  /** Since when machines are gone; the longest ago first. */
-  private final Map<String, Double> removed = new LinkedHashMap<>();
+  private final JobTable jobs;
+  private final MachineTable machines;
 
   private Map<String, MachineType> types = Map.of();
 
-  /** Machines that may hold tasks of earlier terms and have not been heard in this one. */
-  private final Set<Machine> unconfirmed = new LinkedHashSet<>();
-
   private final RunTimes runs = new RunTimes();
   private final Arrivals arrivals;
   private long lastAttempt;
@@ -84,21 +54,18 @@
   private final CommandDispatcher dispatcher;
   private final Views views;
   private final Reports reports;
-  private final Dependencies dependencies = new Dependencies();
-  private final Set<Job> unsaved = new LinkedHashSet<>();
-  private final Set<Job> complete = new LinkedHashSet<>();
-  private final Set<Job> awaitingLaunchMark = new LinkedHashSet<>();
   private final MachineRegistry registry;
   private final UnresponsiveMachineDetector unresponsiveMachines;
 
+  /** Starts a term with nothing known. */
   public Cluster(Loop loop, Settings settings, long term, long termVersion) {
     this.loop = loop;
     this.settings = settings;
     this.term = term;
-    this.termVersion = termVersion;
     this.startedAt = loop.now();
-    this.awakeSince = startedAt;
     this.arrivals = new Arrivals(RATE_LEASES * settings.leaseS());
+    this.jobs = new JobTable(loop, arrivals, termVersion, this::changed);
+    this.machines = new MachineTable(this, loop, settings);
     this.dispatcher = new CommandDispatcher(this, loop, settings);
     this.views = new Views(this, loop, settings);
     this.reports = new Reports(this, loop, settings);
@@ -118,10 +85,11 @@
     return types;
   }
 
+  /** Takes the cloud's current machine types. */
   public void types(Map<String, MachineType> newTypes) {
     if (!newTypes.equals(types)) {
       types = newTypes;
-      machines.values().forEach(Machine::changed);
+      machines.all().forEach(Machine::changed);
       changed = true;
     }
   }
@@ -159,7 +127,7 @@
   }
 
   public Collection<Machine> machines() {
-    return machines.values();
+    return machines.all();
   }
 
   public Machine machine(String id) {
@@ -167,7 +135,7 @@
   }
 
   public Collection<Job> jobs() {
-    return jobs.values();
+    return jobs.all();
   }
 
   public Job job(String id) {
@@ -175,19 +143,19 @@
   }
 
   public boolean isRemoved(String machine) {
-    return removed.containsKey(machine);
+    return machines.isRemoved(machine);
   }
 
   public boolean isUnconfirmed(Machine m) {
-    return unconfirmed.contains(m);
+    return machines.unconfirmed().contains(m);
   }
 
   Set<Machine> unconfirmed() {
-    return unconfirmed;
+    return machines.unconfirmed();
   }
 
   public int unconfirmedCount() {
-    return unconfirmed.size();
+    return machines.unconfirmed().size();
   }
 
   /** Whether anything happened since the last call that may let a task be placed. */
@@ -202,164 +170,88 @@
     return dispatcher.next();
   }
 
-  /** Jobs with finished tasks that the state service does not know of yet. */
-  public Set<Job> unsaved() {
-    return unsaved;
-  }
-
-  /** Jobs with tasks that are placed, and go out once it is written down that they may have. */
-  public Set<Job> awaitingLaunchMark() {
-    return awaitingLaunchMark;
-  }
-
-  /** The state service knows that tasks of the job up to this one may have been launched. */
-  public void launchMarkSaved(Job job, int launchMark) {
-    job.launchMark = Math.max(job.launchMark, launchMark);
-    if (job.launchMark >= job.wantedLaunchMark) {
-      awaitingLaunchMark.remove(job);
-    }
-    job.placed.values().forEach(a -> dispatcher.due(a.machine));
-  }
-
-  /** Open jobs whose tasks are all finished. */
-  public Set<Job> complete() {
-    return complete;
-  }
-
   // Jobs
 
-  /**
-   * @param reach no task from this one on was ever launched
-   */
+  /** Adds an open job. No task from {@code launchMark} on was ever launched. */
   public void addJob(JobSpec spec, long version, long submittedMs, BitSet done, int launchMark) {
-    if (jobs.containsKey(spec.id())) {
+    if (jobs.get(spec.id()) != null) {
       return;
     }
-    Job job = new Job(spec, version, submittedMs, done, launchMark);
-    jobs.put(spec.id(), job);
-    dependencies.add(spec.id(), spec.priority(), spec.dependencies());
-    if (spec.dependencies().isEmpty()) {
-      arrivals.saw(spec, version > termVersion, loop.now());
-    } else {
-      job.ready = false;
-      look(job);
+    boolean reported =
+        machines.all().stream()
+            .flatMap(m -> m.attempts.values().stream())
+            .anyMatch(a -> a.job == null && a.task.job().equals(spec.id()));
+    if (reported) {
+      throw new IllegalStateException("reports were taken before the jobs were read");
     }
-    prioritize();
-    for (Machine m : machines.values()) {
-      for (Attempt a : m.allAttempts()) {
-        if (a.task.job().equals(spec.id()) && a.job == null) {
-          throw new IllegalStateException("reports were taken before the jobs were read");
-        }
-      }
+    jobs.add(spec, version, submittedMs, done, launchMark);
+  }
+
+  /** The job is over: nothing of it may run any longer. */
+  public void removeJob(String id) {
+    Job job = jobs.remove(id);
+    if (job == null) {
+      return;
+    }
+    for (Attempt a : new ArrayList<>(job.placed.values())) {
+      stop(a, 0, "its job is over");
     }
-    if (job.complete()) {
-      complete.add(job);
+    for (Attempt a : new ArrayList<>(job.others)) {
+      stop(a, 0, "its job is over");
     }
     changed = true;
   }
 
-  // Jobs that need others
-
   /** Which open jobs need which others. */
   public Dependencies dependencies() {
-    return dependencies;
+    return jobs.dependencies();
   }
 
   /** How a job ended that others may need: some of them may be ready by that. */
   public void ended(String id, boolean done, long atMs) {
-    dependencies.ended(id, done, atMs);
-    dependencies.neededBy(id).forEach(needer -> look(jobs.get(needer)));
+    jobs.ended(id, done, atMs);
   }
 
-  private void look(Job job) {
-    if (!job.ready && dependencies.ready(job.spec.id())) {
-      LOG.debug("job {} is ready: all that it needs is done", job.spec.id());
-      job.ready = true;
-      job.readyMs = dependencies.readyAtMs(job.spec.id());
-      arrivals.saw(job.spec, job.version > termVersion, loop.now());
-      changed = true;
-    }
+  /** Jobs with finished tasks that the state service does not know of yet. */
+  public Set<Job> unsaved() {
+    return jobs.unsaved();
   }
 
-  private void prioritize() {
-    dependencies
-        .newPriorities()
-        .forEach(
-            (id, priority) -> {
-              Job job = jobs.get(id);
-              if (job != null && job.spec.priority() != priority) {
-                job.reprioritize(priority);
-                changed = true;
-              }
-            });
+  /** The state service knows these finished tasks; their attempts need not be kept any more. */
+  public void saved(Job job, BitSet tasks) {
+    jobs.saved(job, tasks);
   }
 
-  /** The job is over: nothing of it may run any longer. */
-  public void removeJob(String id) {
-    Job job = jobs.remove(id);
-    if (job == null) {
-      return;
-    }
-    dependencies.remove(id);
-    prioritize();
-    unsaved.remove(job);
-    complete.remove(job);
-    awaitingLaunchMark.remove(job);
-    for (Attempt a : new ArrayList<>(job.placed.values())) {
-      stop(a, 0, "its job is over");
-    }
-    for (Attempt a : new ArrayList<>(job.others)) {
-      stop(a, 0, "its job is over");
-    }
-    changed = true;
+  /** Open jobs whose tasks are all finished. */
+  public Set<Job> complete() {
+    return jobs.complete();
   }
 
-  /**
-   * Marks finished tasks as known to the state service; their attempts need not be kept any more.
-   */
-  public void saved(Job job, BitSet tasks) {
-    job.saved.or(tasks);
-    if (!job.unsaved()) {
-      unsaved.remove(job);
-    }
+  /** Jobs with tasks that are placed, and go out once it is written down that they may have. */
+  public Set<Job> awaitingLaunchMark() {
+    return jobs.awaitingLaunchMark();
+  }
+
+  /** The state service knows that tasks of the job up to this one may have been launched. */
+  public void launchMarkSaved(Job job, int launchMark) {
+    jobs.launchMarkSaved(job, launchMark);
+    job.placed.values().forEach(a -> dispatcher.due(a.machine));
   }
 
   // Machines
 
   Machine known(String id) {
-    return machines.computeIfAbsent(
-        id, m -> new Machine(m, MISSED_REPORTS * settings.reportS(), loop.now()));
+    return machines.known(id);
   }
 
-  /**
-   * A machine that an earlier leader gave tasks to, or may have. The longer ago it is sure to have
-   * existed, the sooner a list of the cloud that lacks it proves that it is gone.
-   *
-   * @param held all that it can hold, or null when that may be anything
-   */
+  /** A machine that an earlier leader gave tasks to; see {@link MachineTable#addRegistered}. */
   public void addRegistered(String id, double ageS, Set<TaskId> held) {
-    Machine m = known(id);
-    m.registered = held == null;
-    m.frozen = held != null;
-    m.registryWriteInFlight = true;
-    m.held = held;
-    m.knownSince = Math.min(m.knownSince, loop.now() - Math.max(0, ageS));
-    if (!m.confirmed) {
-      m.answeredAt = Math.max(m.answeredAt, startedAt);
-      unconfirmed.add(m);
-      dispatcher.due(m);
-    }
+    machines.addRegistered(id, ageS, held);
   }
 
+  /** The cloud has answered a rental request with this machine. */
   public void rented(String id, String type, String zone, boolean spot, double requestedAt) {
-    if (removed.containsKey(id)) {
-      return;
-    }
-    Machine m = known(id);
-    m.type = type;
-    m.zone = zone;
-    m.spot = spot;
-    m.rentedAt = requestedAt;
+    machines.rented(id, type, zone, spot, requestedAt);
   }
 
   /** One line of the cloud's list. */
@@ -371,134 +263,43 @@
       boolean spot,
       boolean failed,
       double ageS) {
-    if (removed.containsKey(id)) {
-      return;
-    }
-    Machine m = machines.get(id);
-    if (m == null) {
-      m = known(id);
-      m.rentedAt = loop.now() - ageS;
-      LOG.debug(
-          "machine {} ({} in {}, spot {}) is in the cloud's list, and was not known",
-          id,
-          type,
-          zone,
-          spot);
-    }
-    m.type = type;
-    m.zone = zone;
-    m.spot = spot;
-    setAddress(m, address);
-    if (isUnconfirmed(m) && !m.up) {
-      dispatcher.due(m);
-    }
-    if (failed && !m.failed) {
-      // A failed machine has stopped of its own accord: nothing on it runs, now or later.
-      LOG.debug("machine {} has failed, says the cloud", id);
-      m.failed = true;
-      release(m);
-    }
+    machines.listed(id, address, type, zone, spot, failed, ageS);
   }
 
-  /**
-   * Drops what a complete list of the cloud lacks. A list may be up to twice the usual delay old,
-   * and older than the one before it, so only machines that were known well before the request can
-   * be told to be gone.
-   */
+  /** Drops what a complete list of the cloud lacks; see {@link MachineTable#listedOnly}. */
   public void listedOnly(Set<String> ids, double requestedAt) {
-    double before =
-        requestedAt - Settings.longestLocalTime(2.25 * settings.listLagS() + settings.reportS());
-    for (Machine m : new ArrayList<>(machines.values())) {
-      if (!ids.contains(m.id) && m.knownSince < before) {
-        removed(m, "the cloud does not list it any more");
-      }
-    }
+    machines.listedOnly(ids, requestedAt);
   }
 
   /** The machine does not exist any more, and nothing on it. */
   public void removed(Machine m, String why) {
-    LOG.debug("machine {} is gone: {}; it held {} tasks", m.id, why, m.attempts.size());
-    release(m);
-    machines.remove(m.id);
-    removed.put(m.id, loop.now());
-    registry.removed(m);
-    removed.values().removeIf(since -> since < loop.now() - GONE_LEASES * settings.leaseS());
-  }
-
-  private void release(Machine m) {
-    for (Attempt a : m.allAttempts()) {
-      endAttempt(a);
-    }
-    m.exited.clear();
-    m.idleSince = loop.now();
-    unconfirmed.remove(m);
-    changed = true;
+    machines.removed(m, why);
   }
 
   /** The cloud has been asked to take the machine back: nothing new may start there. */
   public void returning(Machine m) {
-    m.returning = true;
-    changed = true;
+    machines.returning(m);
   }
 
   /**
    * Ends every machine whose lease must have run out since the last answer that it can have had.
    */
   public void expireLeases() {
-    double now = loop.now();
-    for (Machine m : machines.values()) {
-      boolean addPossiblyHeld = m.up || unconfirmed.contains(m);
-      if (addPossiblyHeld
-          && now
-              > m.answeredAt
-                  + Settings.longestLocalTime(settings.leaseS())
-                  + settings.reportS() / 30) {
-        LOG.debug(
-            "machine {} counts as lost: nothing heard, and its lease is over; it held {} tasks",
-            m.id,
-            m.attempts.size());
-        m.deadSession = Math.max(m.deadSession, m.session);
-        m.up = false;
-        release(m);
-      }
-    }
+    machines.expireLeases();
   }
 
-  /**
-   * This node stood still until now. What it did not hear meanwhile is no machine's fault: hundreds
-   * would be taken for silent or deaf at once. Leases run on, since they count from what the
-   * machines were told.
-   */
+  /** This node stood still until now; see {@link MachineTable#stoodStill}. */
   public void stoodStill() {
-    awakeSince = loop.now();
-    machines.values().forEach(m -> m.ownReportAt = awakeSince);
+    machines.stoodStill();
   }
 
   double awakeSince() {
-    return awakeSince;
+    return machines.awakeSince();
   }
 
   /** Whether most machines that are up have not been heard for a while. */
   public boolean mostlySilent(double forS) {
-    int up = 0;
-    int silent = 0;
-    for (Machine m : machines.values()) {
-      if (m.up) {
-        up++;
-        silent += loop.now() > m.ownReportAt + forS ? 1 : 0;
-      }
-    }
-    return silent * 2 > up;
-  }
-
-  static void setAddress(Machine m, String address) {
-    if (m.address == null && address != null) {
-      try {
-        m.address = Address.parse("Address", address);
-      } catch (InvalidField e) {
-        LOG.warn("machine {} has no usable address: {}", m.id, e.getMessage());
-      }
-    }
+    return machines.mostlySilent(forS);
   }
 
   // Reports
@@ -530,12 +331,13 @@
     }
   }
 
-  // Orders
+  // Placements
 
   public void place(TaskId task, String machineId) {
     place(task, machineId, false);
   }
 
+  /** Starts an attempt at a task on a machine, if both are still free for that. */
   public void place(TaskId task, String machineId, boolean overdue) {
     Machine m = machines.get(machineId);
     Job job = jobs.get(task.job());
@@ -553,10 +355,11 @@
       dispatcher.due(m);
     } else {
       job.requestLaunchMark(task.index());
-      awaitingLaunchMark.add(job);
+      jobs.awaitingLaunchMark().add(job);
     }
   }
 
+  /** Stops a task, with time to save its progress where it can. */
   public void stop(TaskId task, String machineId, String why) {
     Machine m = machines.get(machineId);
     Attempt a = m == null ? null : m.attempts.get(task);
@@ -601,28 +404,6 @@
     }
   }
 
-  /**
-   * Whether everything on a machine saves its work, has run for a while and will run on, and may go
-   * anywhere.
-   */
-  public boolean movable(Machine m, double minRunS) {
-    double now = loop.now();
-    if (m.empty() || !m.usable(now)) {
-      return false;
-    }
-    for (Attempt a : m.attempts.values()) {
-      boolean free = a.job.saves() && !a.job.oneZone() && !a.job.spread();
-      if (!free
-          || a.stopping
-          || a.state != Attempt.State.RUNNING
-          || now < a.runningSince + minRunS
-          || runs.remainingS(a, now) < 4 * a.job.saveS()) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   /** Stops what is on a machine, with time to save, so that it goes on elsewhere. */
   public void empty(Machine m) {
     m.draining = true;
@@ -643,7 +424,7 @@
     return runs.lastsS(job);
   }
 
-  // Calls
+  // Commands
 
   /** A direct call that is ready to go, with the launches in it. */
   public record CommandBatch(
@@ -679,7 +460,7 @@
    * this term.
    */
   boolean mayBeUnseen(Job job) {
-    return !unconfirmed.isEmpty() && job.version < termVersion;
+    return !unconfirmed().isEmpty() && jobs.olderThanTerm(job);
   }
 
   /**
@@ -688,7 +469,7 @@
    */
   boolean zoneUnseen(Job job) {
     return mayBeUnseen(job)
-        && unconfirmed.stream()
+        && unconfirmed().stream()
             .anyMatch(
                 m ->
                     m.held == null
@@ -703,38 +484,11 @@
    * down.
    */
   boolean anythingUnseen() {
-    return unconfirmed.stream().anyMatch(m -> m.held == null);
-  }
-
-  public String summary() {
-    return views.summary();
-  }
-
-  public Resources freeOn(Machine m) {
-    return views.freeOn(m);
-  }
-
-  public List<Forecast.Line> lines(double lateBoot, boolean released) {
-    return views.lines(lateBoot, released);
-  }
-
-  public List<DisplacedTasks.Running> runningOn(Set<String> someTypes) {
-    return views.runningOn(someTypes);
-  }
-
-  public List<Host> hosts() {
-    return views.hosts();
-  }
-
-  /**
-   * @param written whether it can be written down that more tasks may be launched; if not, they
-   *     have to wait
-   */
-  public List<PendingJob> pending(boolean written) {
-    return views.pending(written);
+    return unconfirmed().stream().anyMatch(m -> m.held == null);
   }
 
-  public Map<String, Team> teams(SchedulingSettings tuning, Map<String, Double> weights) {
-    return views.teams(tuning, weights);
+  /** The cluster as the scheduling cycle and the autoscaler look at it. */
+  public Views views() {
+    return views;
   }
 }
--- a/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
@@ -17,6 +17,9 @@
 final class CommandDispatcher {
   private static final int MAX_COMMANDS = 400;
 
+  /** After this many failures in a row the pause before the next command grows no longer. */
+  private static final int MAX_BACKOFFS = 5;
+
   private final Cluster cluster;
   private final Loop loop;
   private final Settings settings;
@@ -96,23 +99,12 @@
     return new Cluster.CommandBatch(m, Math.max(1, m.session), commands, launches);
   }
 
-  /** What became of a call: 200, 409, not sent, or anything else, which may yet be carried out. */
-  void called(Cluster.CommandBatch call, boolean executed, boolean surelyNot, Report report) {
-    Machine m = call.machine();
+  /** What became of a batch: 200, 409, not sent, or anything else, which may yet be carried out. */
+  void called(Cluster.CommandBatch batch, boolean executed, boolean surelyNot, Report report) {
+    Machine m = batch.machine();
     m.commandInFlight = false;
     m.changed();
-    for (Attempt a : call.launches()) {
-      a.inFlight--;
-      if (!executed && !surelyNot) {
-        a.deliveryUnknown = true;
-      }
-      if (surelyNot && a.state == Attempt.State.SENDING && !a.launchMayArrive()) {
-        a.sent = false;
-        if (a.stopping && m.attempts.get(a.task) == a) {
-          cluster.endAttempt(a);
-        }
-      }
-    }
+    batch.launches().forEach(a -> launchAnswered(a, executed, surelyNot));
     if (report != null) {
       cluster.unresponsiveMachines().markResponsive(m);
       cluster.answered(m, report);
@@ -120,23 +112,38 @@
     if (executed || surelyNot && report != null) {
       m.failedCommands = 0;
     } else {
-      m.failedCommands = Math.min(m.failedCommands + 1, 5);
+      m.failedCommands = Math.min(m.failedCommands + 1, MAX_BACKOFFS);
       m.nextCommandAt = loop.now() + settings.reportS() / 6 * m.failedCommands;
     }
-    for (Attempt a : call.launches()) {
+    if (report != null) {
       // Executed, or refused, and yet the worker does not show it: it is not there.
-      if (report != null
-          && a.state == Attempt.State.SENDING
-          && !a.launchMayArrive()
-          && m.attempts.get(a.task) == a) {
-        cluster.endAttempt(a);
-      }
+      batch.launches().stream().filter(this::neverArrives).forEach(cluster::endAttempt);
     }
     if (cluster.machine(m.id) == m && hasCommands(m)) {
       waiting.add(m);
     }
   }
 
+  private void launchAnswered(Attempt a, boolean executed, boolean surelyNot) {
+    a.inFlight--;
+    if (!executed && !surelyNot) {
+      a.deliveryUnknown = true;
+    }
+    if (surelyNot && a.state == Attempt.State.SENDING && !a.launchMayArrive()) {
+      a.sent = false;
+      if (a.stopping && a.machine.attempts.get(a.task) == a) {
+        cluster.endAttempt(a);
+      }
+    }
+  }
+
+  /** Whether no report has shown the attempt and no launch of it can arrive any more. */
+  private boolean neverArrives(Attempt a) {
+    return a.state == Attempt.State.SENDING
+        && !a.launchMayArrive()
+        && a.machine.attempts.get(a.task) == a;
+  }
+
   /** Machines whose calls failed and may be tried again. */
   void retry() {
     for (Machine m : cluster.machines()) {
@@ -163,27 +170,9 @@
       if (commands.size() >= MAX_COMMANDS) {
         return;
       }
-      boolean sending = a.state == Attempt.State.SENDING;
-      if (sending && !launchDue(a)) {
-        continue;
-      }
-      if (sending && !direct && m.failedCommands > 0 && a.inFlight == 0) {
-        // The worker reaches us, perhaps through a peer, and we do not reach it: its reports take
-        // launches.
-        a.sent = true;
-        a.deliveryUnknown = true;
-      }
-      if (sending && (direct ? a.inFlight == 0 : a.deliveryUnknown)) {
-        // A launch that is in doubt is repeated until the worker shows it, also when it is not
-        // wanted any
-        // more: a worker that knows the attempt is over will not start it when the lost copy
-        // arrives.
-        commands.add(Command.start(a.task, a.number));
-        launches.add(a);
-        if (a.stopping) {
-          commands.add(Command.stop(a.task, a.number, 0));
-        }
-      } else if (!sending && dueStop(a)) {
+      if (a.state == Attempt.State.SENDING) {
+        launch(a, commands, launches, direct);
+      } else if (dueStop(a)) {
         commands.add(Command.stop(a.task, a.number, a.graceS));
         a.stopSentAt = loop.now();
       }
@@ -192,10 +181,40 @@
       if (commands.size() >= MAX_COMMANDS) {
         return;
       }
-      Job job = cluster.job(a.task.job());
-      if (!a.launchMayArrive() && (!a.done || job == null || job.saved.get(a.task.index()))) {
+      if (forgettable(a)) {
         commands.add(Command.forget(a.task, a.number));
       }
     }
   }
+
+  /**
+   * Adds the launch of an attempt that no report has shown yet. A launch that is in doubt is
+   * repeated until the worker shows it, also when it is not wanted any more: a worker that knows
+   * the attempt has ended will not start it when the lost copy arrives.
+   */
+  private void launch(Attempt a, List<Command> commands, List<Attempt> launches, boolean direct) {
+    if (!launchDue(a)) {
+      return;
+    }
+    if (!direct && a.machine.failedCommands > 0 && a.inFlight == 0) {
+      // The worker reaches this node, perhaps through a peer, and cannot be reached: the answers
+      // to its reports carry launches.
+      a.sent = true;
+      a.deliveryUnknown = true;
+    }
+    if (direct ? a.inFlight > 0 : !a.deliveryUnknown) {
+      return;
+    }
+    commands.add(Command.start(a.task, a.number));
+    launches.add(a);
+    if (a.stopping) {
+      commands.add(Command.stop(a.task, a.number, 0));
+    }
+  }
+
+  /** Whether the worker may forget an exited attempt: it cannot start anew, and its end is kept. */
+  private boolean forgettable(Attempt a) {
+    Job job = cluster.job(a.task.job());
+    return !a.launchMayArrive() && (!a.done || job == null || job.saved.get(a.task.index()));
+  }
 }
--- a/src/main/java/org/saffronshore/cluster/Job.java
+++ b/src/main/java/org/saffronshore/cluster/Job.java
@@ -192,6 +192,7 @@
     return !done.equals(saved);
   }
 
+  /** How many tasks run or are saving. */
   public int running() {
     int running = 0;
     for (Attempt a : placed.values()) {
--- /dev/null
+++ b/src/main/java/org/saffronshore/cluster/JobTable.java
@@ -0,0 +1,162 @@
+package org.saffronshore.cluster;
+
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.fleet.Arrivals;
+import org.saffronshore.http.Loop;
+import org.saffronshore.wire.JobSpec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The open jobs of one term with their dependencies, and which of them have something that the
+ * state service does not know yet.
+ */
+public final class JobTable {
+  private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
+
+  private final Loop loop;
+  private final Arrivals arrivals;
+
+  /** Version of the leader's key: jobs accepted later cannot have been started by anyone else. */
+  private final long termVersion;
+
+  /** What to do when something has happened that may let a task be placed. */
+  private final Runnable onChange;
+
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Dependencies dependencies = new Dependencies();
+  private final Set<Job> unsaved = new LinkedHashSet<>();
+  private final Set<Job> complete = new LinkedHashSet<>();
+  private final Set<Job> awaitingLaunchMark = new LinkedHashSet<>();
+
+  JobTable(Loop loop, Arrivals arrivals, long termVersion, Runnable onChange) {
+    this.loop = loop;
+    this.arrivals = arrivals;
+    this.termVersion = termVersion;
+    this.onChange = onChange;
+  }
+
+  Collection<Job> all() {
+    return jobs.values();
+  }
+
+  Job get(String id) {
+    return jobs.get(id);
+  }
+
+  /** Whether the job was accepted before this term began, and may thus have been launched. */
+  boolean olderThanTerm(Job job) {
+    return job.version < termVersion;
+  }
+
+  /**
+   * Adds an open job; a job that is known already stays as it is.
+   *
+   * @param launchMark no task from this one on was ever launched
+   */
+  void add(JobSpec spec, long version, long submittedMs, BitSet done, int launchMark) {
+    if (jobs.containsKey(spec.id())) {
+      return;
+    }
+    Job job = new Job(spec, version, submittedMs, done, launchMark);
+    jobs.put(spec.id(), job);
+    dependencies.add(spec.id(), spec.priority(), spec.dependencies());
+    if (spec.dependencies().isEmpty()) {
+      arrivals.saw(spec, version > termVersion, loop.now());
+    } else {
+      job.ready = false;
+      updateReadiness(job);
+    }
+    updatePriorities();
+    if (job.complete()) {
+      complete.add(job);
+    }
+    onChange.run();
+  }
+
+  /** Which open jobs need which others. */
+  Dependencies dependencies() {
+    return dependencies;
+  }
+
+  /** How a job ended that others may need: some of them may be ready by that. */
+  void ended(String id, boolean done, long atMs) {
+    dependencies.ended(id, done, atMs);
+    dependencies.neededBy(id).forEach(needer -> updateReadiness(jobs.get(needer)));
+  }
+
+  private void updateReadiness(Job job) {
+    if (!job.ready && dependencies.ready(job.spec.id())) {
+      LOG.debug("job {} is ready: all that it needs is done", job.spec.id());
+      job.ready = true;
+      job.readyMs = dependencies.readyAtMs(job.spec.id());
+      arrivals.saw(job.spec, job.version > termVersion, loop.now());
+      onChange.run();
+    }
+  }
+
+  private void updatePriorities() {
+    dependencies
+        .newPriorities()
+        .forEach(
+            (id, priority) -> {
+              Job job = jobs.get(id);
+              if (job != null && job.spec.priority() != priority) {
+                job.reprioritize(priority);
+                onChange.run();
+              }
+            });
+  }
+
+  /** The job is over; null when it was not open. */
+  Job remove(String id) {
+    Job job = jobs.remove(id);
+    if (job == null) {
+      return null;
+    }
+    dependencies.remove(id);
+    updatePriorities();
+    unsaved.remove(job);
+    complete.remove(job);
+    awaitingLaunchMark.remove(job);
+    return job;
+  }
+
+  /**
+   * Marks finished tasks as known to the state service; their attempts need not be kept any more.
+   */
+  void saved(Job job, BitSet tasks) {
+    job.saved.or(tasks);
+    if (!job.unsaved()) {
+      unsaved.remove(job);
+    }
+  }
+
+  /** Jobs with finished tasks that the state service does not know of yet. */
+  Set<Job> unsaved() {
+    return unsaved;
+  }
+
+  /** Jobs with tasks that are placed, and go out once it is written down that they may have. */
+  Set<Job> awaitingLaunchMark() {
+    return awaitingLaunchMark;
+  }
+
+  /** The state service knows that tasks of the job up to this one may have been launched. */
+  void launchMarkSaved(Job job, int launchMark) {
+    job.launchMark = Math.max(job.launchMark, launchMark);
+    if (job.launchMark >= job.wantedLaunchMark) {
+      awaitingLaunchMark.remove(job);
+    }
+  }
+
+  /** Open jobs whose tasks are all finished. */
+  Set<Job> complete() {
+    return complete;
+  }
+}
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -208,6 +208,13 @@
         && !unknownLoad();
   }
 
+  /** Whether the machine can be counted on for later: it works, stays, and is heard. */
+  boolean reliable(double now) {
+    boolean leaving = failed || returning || noticed();
+    boolean faulty = distrusted() || unresponsive || up && !confirmed && silent(now);
+    return !leaving && !faulty;
+  }
+
   /** Whether reports that were due have not come: it may hang, or be cut off. */
   boolean silent(double now) {
     return now > ownReportAt + silentAfterS;
--- /dev/null
+++ b/src/main/java/org/saffronshore/cluster/MachineTable.java
@@ -0,0 +1,242 @@
+package org.saffronshore.cluster;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.saffronshore.config.Settings;
+import org.saffronshore.config.Settings.Address;
+import org.saffronshore.http.Loop;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.TaskId;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machines of one term: which there are, which may hold tasks of earlier terms and have not
+ * been heard, and which are gone or count as lost.
+ */
+final class MachineTable {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineTable.class);
+
+  /** A machine counts as silent when it has let this many reports be missed. */
+  private static final double MISSED_REPORTS = 1.4;
+
+  /** Reports of machines that are gone may come late, but not by so many leases. */
+  private static final double GONE_LEASES = 20;
+
+  private final Cluster cluster;
+  private final Loop loop;
+  private final Settings settings;
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+
+  /** Since when machines are gone; the longest ago first. */
+  private final Map<String, Double> removed = new LinkedHashMap<>();
+
+  /** Machines that may hold tasks of earlier terms and have not been heard in this one. */
+  private final Set<Machine> unconfirmed = new LinkedHashSet<>();
+
+  /** This node has not stood still since then. */
+  private double awakeSince;
+
+  MachineTable(Cluster cluster, Loop loop, Settings settings) {
+    this.cluster = cluster;
+    this.loop = loop;
+    this.settings = settings;
+    this.awakeSince = loop.now();
+  }
+
+  Collection<Machine> all() {
+    return machines.values();
+  }
+
+  Machine get(String id) {
+    return machines.get(id);
+  }
+
+  boolean isRemoved(String id) {
+    return removed.containsKey(id);
+  }
+
+  Set<Machine> unconfirmed() {
+    return unconfirmed;
+  }
+
+  Machine known(String id) {
+    return machines.computeIfAbsent(
+        id, m -> new Machine(m, MISSED_REPORTS * settings.reportS(), loop.now()));
+  }
+
+  /**
+   * A machine that an earlier leader gave tasks to, or may have. The longer ago it is sure to have
+   * existed, the sooner a list of the cloud that lacks it proves that it is gone.
+   *
+   * @param held all that it can hold, or null when that may be anything
+   */
+  void addRegistered(String id, double ageS, Set<TaskId> held) {
+    Machine m = known(id);
+    m.registered = held == null;
+    m.frozen = held != null;
+    m.registryWriteInFlight = true;
+    m.held = held;
+    m.knownSince = Math.min(m.knownSince, loop.now() - Math.max(0, ageS));
+    if (!m.confirmed) {
+      m.answeredAt = Math.max(m.answeredAt, cluster.startedAt());
+      unconfirmed.add(m);
+      cluster.commandsDue(m);
+    }
+  }
+
+  /** The cloud has answered a rental request with this machine. */
+  void rented(String id, String type, String zone, boolean spot, double requestedAt) {
+    if (removed.containsKey(id)) {
+      return;
+    }
+    Machine m = known(id);
+    m.type = type;
+    m.zone = zone;
+    m.spot = spot;
+    m.rentedAt = requestedAt;
+  }
+
+  /** One line of the cloud's list. */
+  void listed(
+      String id,
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      boolean failed,
+      double ageS) {
+    if (removed.containsKey(id)) {
+      return;
+    }
+    Machine m = machines.get(id);
+    if (m == null) {
+      m = known(id);
+      m.rentedAt = loop.now() - ageS;
+      LOG.debug(
+          "machine {} ({} in {}, spot {}) is in the cloud's list, and was not known",
+          id,
+          type,
+          zone,
+          spot);
+    }
+    m.type = type;
+    m.zone = zone;
+    m.spot = spot;
+    setAddress(m, address);
+    if (unconfirmed.contains(m) && !m.up) {
+      cluster.commandsDue(m);
+    }
+    if (failed && !m.failed) {
+      // A failed machine has stopped of its own accord: nothing on it runs, now or later.
+      LOG.debug("machine {} has failed, says the cloud", id);
+      m.failed = true;
+      release(m);
+    }
+  }
+
+  /**
+   * Drops what a complete list of the cloud lacks. A list may be up to twice the usual delay old,
+   * and older than the one before it, so only machines that were known well before the request can
+   * be told to be gone.
+   */
+  void listedOnly(Set<String> ids, double requestedAt) {
+    double before =
+        requestedAt - Settings.longestLocalTime(2.25 * settings.listLagS() + settings.reportS());
+    for (Machine m : new ArrayList<>(machines.values())) {
+      if (!ids.contains(m.id) && m.knownSince < before) {
+        removed(m, "the cloud does not list it any more");
+      }
+    }
+  }
+
+  /** The machine does not exist any more, and nothing on it. */
+  void removed(Machine m, String why) {
+    LOG.debug("machine {} is gone: {}; it held {} tasks", m.id, why, m.attempts.size());
+    release(m);
+    machines.remove(m.id);
+    removed.put(m.id, loop.now());
+    cluster.registry().removed(m);
+    removed.values().removeIf(since -> since < loop.now() - GONE_LEASES * settings.leaseS());
+  }
+
+  private void release(Machine m) {
+    for (Attempt a : m.allAttempts()) {
+      cluster.endAttempt(a);
+    }
+    m.exited.clear();
+    m.idleSince = loop.now();
+    unconfirmed.remove(m);
+    cluster.changed();
+  }
+
+  /** The cloud has been asked to take the machine back: nothing new may start there. */
+  void returning(Machine m) {
+    m.returning = true;
+    cluster.changed();
+  }
+
+  /**
+   * Ends every machine whose lease must have run out since the last answer that it can have had.
+   */
+  void expireLeases() {
+    double now = loop.now();
+    for (Machine m : machines.values()) {
+      boolean addPossiblyHeld = m.up || unconfirmed.contains(m);
+      if (addPossiblyHeld
+          && now
+              > m.answeredAt
+                  + Settings.longestLocalTime(settings.leaseS())
+                  + settings.reportS() / 30) {
+        LOG.debug(
+            "machine {} counts as lost: nothing heard, and its lease is over; it held {} tasks",
+            m.id,
+            m.attempts.size());
+        m.deadSession = Math.max(m.deadSession, m.session);
+        m.up = false;
+        release(m);
+      }
+    }
+  }
+
+  /**
+   * This node stood still until now. What it did not hear meanwhile is no machine's fault: hundreds
+   * would be taken for silent or deaf at once. Leases run on, since they count from what the
+   * machines were told.
+   */
+  void stoodStill() {
+    awakeSince = loop.now();
+    machines.values().forEach(m -> m.ownReportAt = awakeSince);
+  }
+
+  double awakeSince() {
+    return awakeSince;
+  }
+
+  /** Whether most machines that are up have not been heard for a while. */
+  boolean mostlySilent(double forS) {
+    int up = 0;
+    int silent = 0;
+    for (Machine m : machines.values()) {
+      if (m.up) {
+        up++;
+        silent += loop.now() > m.ownReportAt + forS ? 1 : 0;
+      }
+    }
+    return silent * 2 > up;
+  }
+
+  static void setAddress(Machine m, String address) {
+    if (m.address == null && address != null) {
+      try {
+        m.address = Address.parse("Address", address);
+      } catch (InvalidField e) {
+        LOG.warn("machine {} has no usable address: {}", m.id, e.getMessage());
+      }
+    }
+  }
+}
--- a/src/main/java/org/saffronshore/cluster/Reports.java
+++ b/src/main/java/org/saffronshore/cluster/Reports.java
@@ -1,5 +1,6 @@
 package org.saffronshore.cluster;
 
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Set;
 import org.saffronshore.config.Settings;
@@ -20,6 +21,10 @@
   /** A job that failed on this many machines in a row is itself at fault. */
   private static final int BAD_JOB_MACHINES = 3;
 
+  /** Exits that say that the machine did not start the task. */
+  private static final Set<Report.Why> REFUSED =
+      EnumSet.of(Report.Why.NO_ROOM, Report.Why.BUSY, Report.Why.UNKNOWN);
+
   private final Cluster cluster;
   private final Loop loop;
   private final Settings settings;
@@ -49,7 +54,7 @@
     m.type = r.type();
     m.zone = r.zone();
     m.spot = r.spot();
-    Cluster.setAddress(m, r.address());
+    MachineTable.setAddress(m, r.address());
     if (r.session() > m.deadSession && r.newerThan(m.reportSession, m.reportSeq)) {
       m.reportSession = r.session();
       m.reportSeq = r.seq();
@@ -76,52 +81,15 @@
     if (r.session() <= m.deadSession || !r.newerThan(m.session, m.seq)) {
       return;
     }
-    double now = loop.now();
     if (r.session() > m.session) {
-      if (m.session > 0 && !m.attempts.isEmpty()) {
-        LOG.debug("machine {} began session {}: what it held is gone", m.id, r.session());
-      }
-      for (Attempt a : m.allAttempts()) {
-        cluster.endAttempt(a);
-      }
-      m.exited.clear();
-      m.changed();
-      // Its lease ran out although its reports were answered: it may not hear us.
-      if (m.session > 0
-          && now < m.answeredBefore + Settings.shortestLocalTime(settings.leaseS())
-          && !m.unresponsive) {
-        cluster.unresponsiveMachines().markUnresponsive(m);
-      }
-      m.session = r.session();
-      // Whatever the machine was told last, a session that is new here may have begun a moment ago,
-      // with a lease
-      // of its own from then on.
-      m.answeredAt = Math.max(m.answeredAt, now);
+      beginSession(m, r.session());
     }
     m.seq = r.seq();
-    m.heardAt = now;
+    m.heardAt = loop.now();
     if (!m.up) {
-      m.up = true;
-      m.upAt = Double.isNaN(m.upAt) ? now : m.upAt;
-      m.idleSince = now;
-      cluster.changed();
-      LOG.debug(
-          "machine {} is up after {} s ({} in {}, spot {})",
-          m.id,
-          Math.round(now - m.rentedAt),
-          m.type,
-          m.zone,
-          m.spot);
-    }
-    boolean noticedNow = false;
-    if (r.noticeS() != null) {
-      if (!m.noticed()) {
-        LOG.debug("machine {} is to be taken back in {} s", m.id, r.noticeS());
-        cluster.changed();
-        noticedNow = true;
-      }
-      m.noticeUntil = now + r.noticeS();
+      markUp(m);
     }
+    boolean noticedNow = noticed(m, r);
     boolean confirmedNow = !m.confirmed && r.token() >= cluster.term();
     if (confirmedNow) {
       cluster.unresponsiveMachines().markResponsive(m);
@@ -130,25 +98,16 @@
       cluster.registry().enter(m);
     }
     // Most reports say nothing new, and there are hundreds in a second.
-    if (!confirmedNow && !noticedNow && r.tasks().equals(m.applied)) {
-      if (cluster.hasCommands(m)) {
-        cluster.commandsDue(m);
-      }
-      return;
+    if (confirmedNow || noticedNow || !r.tasks().equals(m.applied)) {
+      applyNews(m, r, noticedNow, confirmedNow);
     }
-    m.host = null;
-    Set<TaskId> seen = new HashSet<>();
-    for (Report.Task t : r.tasks()) {
-      seen.add(t.task());
-      apply(m, t);
-    }
-    for (Attempt a : m.allAttempts()) {
-      if (!seen.contains(a.task) && (a.state != Attempt.State.SENDING)) {
-        cluster.endAttempt(a);
-      }
+    if (cluster.hasCommands(m)) {
+      cluster.commandsDue(m);
     }
-    m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
-    m.applied = r.tasks();
+  }
+
+  private void applyNews(Machine m, Report r, boolean noticedNow, boolean confirmedNow) {
+    applyTasks(m, r);
     if (noticedNow) {
       cluster.drain(m, r.noticeS());
     }
@@ -161,50 +120,116 @@
       stopDuplicates(m);
     }
     if (m.attempts.isEmpty() != Double.isFinite(m.idleSince)) {
-      m.idleSince = m.attempts.isEmpty() ? now : Double.POSITIVE_INFINITY;
+      m.idleSince = m.attempts.isEmpty() ? loop.now() : Double.POSITIVE_INFINITY;
     }
-    if (cluster.hasCommands(m)) {
-      cluster.commandsDue(m);
+  }
+
+  /** Everything that the machine held in an earlier session is gone. */
+  private void beginSession(Machine m, long session) {
+    double now = loop.now();
+    if (m.session > 0 && !m.attempts.isEmpty()) {
+      LOG.debug("machine {} began session {}: what it held is gone", m.id, session);
+    }
+    m.allAttempts().forEach(cluster::endAttempt);
+    m.exited.clear();
+    m.changed();
+    // Its lease ran out although its reports were answered: it may receive nothing.
+    if (m.session > 0
+        && now < m.answeredBefore + Settings.shortestLocalTime(settings.leaseS())
+        && !m.unresponsive) {
+      cluster.unresponsiveMachines().markUnresponsive(m);
     }
+    m.session = session;
+    // Whatever the machine was told last, a session that is new here may have begun a moment ago,
+    // with a lease of its own from then on.
+    m.answeredAt = Math.max(m.answeredAt, now);
+  }
+
+  private void markUp(Machine m) {
+    double now = loop.now();
+    m.up = true;
+    m.upAt = Double.isNaN(m.upAt) ? now : m.upAt;
+    m.idleSince = now;
+    cluster.changed();
+    LOG.debug(
+        "machine {} is up after {} s ({} in {}, spot {})",
+        m.id,
+        Math.round(now - m.rentedAt),
+        m.type,
+        m.zone,
+        m.spot);
+  }
+
+  /** Takes a notice that the cloud will take the machine back; true when it is the first one. */
+  private boolean noticed(Machine m, Report r) {
+    if (r.noticeS() == null) {
+      return false;
+    }
+    boolean first = !m.noticed();
+    if (first) {
+      LOG.debug("machine {} is to be taken back in {} s", m.id, r.noticeS());
+      cluster.changed();
+    }
+    m.noticeUntil = loop.now() + r.noticeS();
+    return first;
+  }
+
+  private void applyTasks(Machine m, Report r) {
+    m.host = null;
+    Set<TaskId> seen = new HashSet<>();
+    for (Report.Task t : r.tasks()) {
+      seen.add(t.task());
+      apply(m, t);
+    }
+    for (Attempt a : m.allAttempts()) {
+      if (!seen.contains(a.task) && a.state != Attempt.State.SENDING) {
+        cluster.endAttempt(a);
+      }
+    }
+    m.exited.values().removeIf(a -> !seen.contains(a.task) && !a.launchMayArrive());
+    m.applied = r.tasks();
   }
 
   private void apply(Machine m, Report.Task t) {
+    Job known = cluster.job(t.task().job());
+    Job job = known != null && t.task().index() < known.spec.tasks() ? known : null;
     Attempt a = m.attempts.get(t.task());
-    Job job = cluster.job(t.task().job());
-    boolean inRange = job != null && t.task().index() < job.spec.tasks();
     if (a == null || a.number != t.attempt()) {
       Attempt old = m.exited.get(t.task());
       if (old != null && old.number == t.attempt() && t.state() == Report.State.EXITED) {
         return;
       }
-      a = new Attempt(t.task(), t.attempt(), m, inRange ? job.spec : null, loop.now());
+      a = new Attempt(t.task(), t.attempt(), m, job == null ? null : job.spec, loop.now());
       if (t.state() == Report.State.EXITED) {
-        exited(a, t.why(), inRange ? job : null);
+        exited(a, t.why(), job);
         return;
       }
-      adopt(a, inRange ? job : null);
+      adopt(a, job);
     }
     if (a.state == Attempt.State.SENDING) {
       cluster.unresponsiveMachines().markResponsive(m);
     }
     switch (t.state()) {
       case FETCHING -> a.state = Attempt.State.FETCHING;
-      case RUNNING -> {
-        if (a.state != Attempt.State.RUNNING) {
-          a.fromStart = a.number >> Cluster.TERM_SHIFT == cluster.term();
-          a.state = Attempt.State.RUNNING;
-          if (job != null) {
-            job.begun = true;
-          }
-          a.runningSince = loop.now();
-          useImage(m, a);
-        }
-      }
+      case RUNNING -> running(a, known);
       case SAVING -> a.state = Attempt.State.SAVING;
-      default -> exited(a, t.why(), inRange ? job : null);
+      default -> exited(a, t.why(), job);
     }
   }
 
+  private void running(Attempt a, Job job) {
+    if (a.state == Attempt.State.RUNNING) {
+      return;
+    }
+    a.fromStart = a.number >> Cluster.TERM_SHIFT == cluster.term();
+    a.state = Attempt.State.RUNNING;
+    if (job != null) {
+      job.begun = true;
+    }
+    a.runningSince = loop.now();
+    useImage(a.machine, a);
+  }
+
   void useImage(Machine m, Attempt a) {
     MachineType type = cluster.typeOf(m);
     if (a.job != null && type != null) {
@@ -234,7 +259,7 @@
 
   /**
    * Stops what is in two places. As long as one of the machines is not settled, what it shows may
-   * be over: a late copy of an old report must not end what truly cluster.runs().
+   * be over: a late copy of an old report must not end what truly runs.
    */
   private void stopDuplicates(Machine m) {
     for (Attempt a : m.allAttempts()) {
@@ -268,35 +293,39 @@
     m.exited.put(a.task, a);
     cluster.changed();
     if (job != null && why == Report.Why.DONE) {
-      a.done = true;
-      cluster.runs().learn(a, loop.now());
-      if (!job.done.get(a.task.index())) {
-        job.done.set(a.task.index());
-        job.waiting.clear(a.task.index());
-        (job.complete() ? cluster.complete() : cluster.unsaved()).add(job);
-        for (Attempt other : job.attemptsAt(a.task.index())) {
-          if (other != a) {
-            cluster.stop(other, 0, "it is done already");
-          }
-        }
-      }
-      job.failedOn.clear();
-      job.backOffs = 0;
-      m.consecutiveFailures = 0;
+      done(a, job);
     }
     cluster.endAttempt(a);
     if (mine && why == Report.Why.ERROR && !wasStopping && job != null) {
       failure(m, job, a);
-    } else if (mine
-        && (why == Report.Why.NO_ROOM || why == Report.Why.BUSY || why == Report.Why.UNKNOWN)) {
+    } else if (mine && REFUSED.contains(why)) {
       LOG.debug("machine {} refused task {}: {}", m.id, a.task, why);
       m.suspendedUntil = loop.now() + settings.reportS();
     }
   }
 
+  private void done(Attempt a, Job job) {
+    int index = a.task.index();
+    a.done = true;
+    cluster.runs().learn(a, loop.now());
+    if (!job.done.get(index)) {
+      job.done.set(index);
+      job.waiting.clear(index);
+      (job.complete() ? cluster.complete() : cluster.unsaved()).add(job);
+      for (Attempt other : job.attemptsAt(index)) {
+        if (other != a) {
+          cluster.stop(other, 0, "it is done already");
+        }
+      }
+    }
+    job.failedOn.clear();
+    job.backOffs = 0;
+    a.machine.consecutiveFailures = 0;
+  }
+
   /**
    * Tells a bad machine, which fails whatever it is given, from a bad job, which fails wherever it
-   * cluster.runs().
+   * runs.
    */
   private void failure(Machine m, Job job, Attempt a) {
     job.failedOn.add(m.id);
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -10,7 +10,6 @@
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.DisplacedTasks;
 import org.saffronshore.fleet.Forecast;
-import org.saffronshore.fleet.MachineKind;
 import org.saffronshore.http.Loop;
 import org.saffronshore.scheduling.Host;
 import org.saffronshore.scheduling.HostedTask;
@@ -22,7 +21,7 @@
 import org.saffronshore.wire.TaskId;
 
 /** The cluster as the cycle and the fleet look at it. Reads only. */
-final class Views {
+public final class Views {
   /** A job of which nothing has run for so many leases goes first, with one task. */
   private static final double PATIENCE_LEASES = 4;
 
@@ -37,7 +36,7 @@
   }
 
   /** One line for the log: how much there is, and how much of it is used. */
-  String summary() {
+  public String summary() {
     int up = 0;
     int coming = 0;
     int fetching = 0;
@@ -88,7 +87,7 @@
   }
 
   /** What is free on a machine now, or null when nothing may be put there. */
-  Resources freeOn(Machine m) {
+  public Resources freeOn(Machine m) {
     MachineType type = cluster.typeOf(m);
     if (type == null || !m.usable(loop.now())) {
       return null;
@@ -105,42 +104,41 @@
    *
    * @param released whether to count what running tasks will leave
    */
-  List<Forecast.Line> lines(double lateBoot, boolean released) {
+  public List<Forecast.Line> lines(double lateBoot, boolean released) {
     double now = loop.now();
     List<Forecast.Line> lines = new ArrayList<>();
     for (Machine m : cluster.machines()) {
       MachineType type = cluster.typeOf(m);
-      if (type == null
-          || m.failed
-          || m.returning
-          || m.noticed()
-          || m.distrusted()
-          || m.unresponsive
-          || m.up && !m.confirmed && m.silent(now)) {
+      if (type == null || !m.reliable(now)) {
         continue;
       }
-      MachineKind kind = m.kind();
-      Resources room = Resources.of(type);
       if (m.up) {
-        Forecast.Line line = new Forecast.Line(kind, room, Math.max(now, m.suspendedUntil));
-        for (Attempt a : m.attempts.values()) {
-          if (a.job != null) {
-            room.take(a.job);
-            if (released) {
-              line.running(a.job, now + cluster.remainingS(a, now));
-            }
-          }
-        }
-        lines.add(line);
+        lines.add(line(m, type, released, now));
       } else if (!m.everUp() && now < m.rentedAt + type.bootS() * lateBoot) {
-        lines.add(new Forecast.Line(kind, room, Math.max(now, m.rentedAt + type.bootS())));
+        double upAt = Math.max(now, m.rentedAt + type.bootS());
+        lines.add(new Forecast.Line(m.kind(), Resources.of(type), upAt));
       }
     }
     return lines;
   }
 
+  private Forecast.Line line(Machine m, MachineType type, boolean released, double now) {
+    Resources room = Resources.of(type);
+    Forecast.Line line = new Forecast.Line(m.kind(), room, Math.max(now, m.suspendedUntil));
+    for (Attempt a : m.attempts.values()) {
+      if (a.job == null) {
+        continue;
+      }
+      room.take(a.job);
+      if (released) {
+        line.running(a.job, now + cluster.remainingS(a, now));
+      }
+    }
+    return line;
+  }
+
   /** How many tasks of each job there are on machines of some types. */
-  List<DisplacedTasks.Running> runningOn(Set<String> types) {
+  public List<DisplacedTasks.Running> runningOn(Set<String> types) {
     Map<String, Map<String, DisplacedTasks.Running>> all = new HashMap<>();
     for (Machine m : cluster.machines()) {
       if (m.up && types.contains(m.type)) {
@@ -161,7 +159,7 @@
   }
 
   /** Machines that can take tasks. What did not change since the last time is not made anew. */
-  List<Host> hosts() {
+  public List<Host> hosts() {
     double now = loop.now();
     List<Host> hosts = new ArrayList<>(cluster.machines().size());
     for (Machine m : cluster.machines()) {
@@ -197,47 +195,51 @@
     return waiting;
   }
 
-  List<PendingJob> pending(boolean written) {
+  /**
+   * Jobs with tasks that may be placed now.
+   *
+   * @param written whether it can be written down that more tasks may be launched; if not, they
+   *     have to wait
+   */
+  public List<PendingJob> pending(boolean written) {
     double now = loop.now();
     List<PendingJob> all = new ArrayList<>();
     boolean anything = cluster.anythingUnseen();
     for (Job job : cluster.jobs()) {
-      boolean older = cluster.mayBeUnseen(job);
       if (!job.ready || job.waiting.isEmpty() || now < job.backOffUntil) {
         continue;
       }
-      BitSet waiting = older ? seen(job, anything) : job.waiting;
+      BitSet waiting = cluster.mayBeUnseen(job) ? seen(job, anything) : job.waiting;
       if (!written) {
         waiting = waiting.get(0, Math.min(job.launchMark, job.spec.tasks()));
       }
-      if (waiting.isEmpty()) {
+      boolean zonesMatter = PendingJob.zonesMatter(job.spec);
+      if (waiting.isEmpty() || zonesMatter && cluster.zoneUnseen(job)) {
         continue;
       }
-      Map<String, Integer> perZone = Map.of();
-      if (PendingJob.zonesMatter(job.spec)) {
-        if (cluster.zoneUnseen(job)) {
-          continue;
-        }
-        perZone = new HashMap<>();
-        for (Attempt a : job.placed.values()) {
-          perZone.merge(a.machine.zone, 1, Integer::sum);
-        }
-        for (Attempt a : job.others) {
-          perZone.merge(a.machine.zone, 1, Integer::sum);
-        }
-      }
+      Map<String, Integer> perZone = zonesMatter ? perZone(job) : Map.of();
       PendingJob pending = new PendingJob(job.spec, job.version, waiting, perZone);
-      boolean waitsLong = job.waitedS(loop.wallMs()) > PATIENCE_LEASES * settings.leaseS();
-      all.add(
-          waitsLong && !job.begun && job.done.isEmpty() && job.placed.isEmpty()
-              ? pending.overdue()
-              : pending);
+      all.add(starving(job) ? pending.overdue() : pending);
     }
     return all;
   }
 
+  /** How many tasks of the job each zone has, or may have. */
+  private static Map<String, Integer> perZone(Job job) {
+    Map<String, Integer> perZone = new HashMap<>();
+    job.placed.values().forEach(a -> perZone.merge(a.machine.zone, 1, Integer::sum));
+    job.others.forEach(a -> perZone.merge(a.machine.zone, 1, Integer::sum));
+    return perZone;
+  }
+
+  /** Whether the job has waited for very long, and nothing of it has ever run. */
+  private boolean starving(Job job) {
+    boolean waitsLong = job.waitedS(loop.wallMs()) > PATIENCE_LEASES * settings.leaseS();
+    return waitsLong && !job.begun && job.done.isEmpty() && job.placed.isEmpty();
+  }
+
   /** Teams with what their tasks use or may be using; {@code weights} are the operators' own. */
-  Map<String, Team> teams(SchedulingSettings tuning, Map<String, Double> weights) {
+  public Map<String, Team> teams(SchedulingSettings tuning, Map<String, Double> weights) {
     Map<String, Team> teams = new HashMap<>();
     for (Settings.Team t : settings.teams().values()) {
       double guarantee = t.cpus() + t.gpus();
@@ -311,4 +313,26 @@
               beside.gpus + Math.max(0, unnamed.gpus - gpus));
         });
   }
+
+  /**
+   * Whether everything on a machine saves its work, has run for a while and will run on, and may go
+   * anywhere.
+   */
+  public boolean movable(Machine m, double minRunS) {
+    double now = loop.now();
+    if (m.empty() || !m.usable(now)) {
+      return false;
+    }
+    for (Attempt a : m.attempts.values()) {
+      boolean free = a.job.saves() && !a.job.oneZone() && !a.job.spread();
+      if (!free
+          || a.stopping
+          || a.state != Attempt.State.RUNNING
+          || now < a.runningSince + minRunS
+          || cluster.remainingS(a, now) < 4 * a.job.saveS()) {
+        return false;
+      }
+    }
+    return true;
+  }
 }
--- a/src/main/java/org/saffronshore/config/Settings.java
+++ b/src/main/java/org/saffronshore/config/Settings.java
@@ -50,7 +50,9 @@
   private static final double MAX = 1e9;
   private static final int MAX_TXN_OPS = 1_000_000;
 
+  /** A TCP address. */
   public record Address(String host, int port) {
+    /** Reads an address of the form host:port. */
     public static Address parse(String field, String text) throws InvalidField {
       int colon = text.lastIndexOf(':');
       try {
@@ -72,6 +74,7 @@
     }
   }
 
+  /** Another controller of the deployment. */
   public record Peer(String node, String zone, Address address) {}
 
   /** A team's guarantee and limit; a limit of 0 means none. */
@@ -100,6 +103,7 @@
     return seconds * (1 - 2 * DRIFT);
   }
 
+  /** Reads the platform's settings file; a failure names the field. */
   public static Settings parse(JsonNode root) throws InvalidField {
     Fields f = Fields.of(root, "");
     Fields services = f.object("services");
@@ -114,14 +118,47 @@
     int txnOps = (int) state.count("txn_ops", 2, MAX_TXN_OPS);
     Fields cloud = cluster.object("cloud");
     Fields limits = cluster.object("limits");
+    List<String> zones = cluster.textsOrNull("zones");
+    return new Settings(
+        f.text("node"),
+        f.textOrNull("area"),
+        Address.parse("serve_on", f.text("serve_on")),
+        Address.parse("peer_bind", f.text("peer_bind")),
+        peers(f),
+        Address.parse("services.cloud", services.text("cloud")),
+        Address.parse("services.state", services.text("state")),
+        zones == null ? List.of() : zones,
+        teams(cluster),
+        objectives(cluster),
+        workers.number("report_s", 0.01, MAX),
+        workers.number("lease_s", 0.1, MAX),
+        workers.number("cancel_s", 0.1, MAX),
+        rps,
+        writeRps,
+        next.number("rps", 1, MAX, rps),
+        next.number("write_rps", 1, MAX, writeRps),
+        Math.min(valueKb, next.number("value_kb", 1, MAX, valueKb)),
+        next.has("txn_ops")
+            ? Math.min(txnOps, (int) next.count("txn_ops", 2, MAX_TXN_OPS))
+            : txnOps,
+        cloud.number("rps", 0.01, MAX),
+        cloud.number("list_lag_s", 0, MAX),
+        limits.number("core_share", 0.001, MAX, 1),
+        limits.number("memory_mb", 1, MAX, 256),
+        (int) limits.number("sockets", 16, MAX, 1024),
+        cluster.number("clock_off_ms", 0, MAX, MAX) / 1000);
+  }
+
+  private static List<Peer> peers(Fields root) throws InvalidField {
     List<Peer> peers = new ArrayList<>();
-    for (Fields p : f.objects("peers")) {
-      peers.add(
-          new Peer(
-              p.text("node"),
-              p.textOrNull("area"),
-              Address.parse(p.path() + ".addr", p.text("addr"))));
+    for (Fields p : root.objects("peers")) {
+      Address address = Address.parse(p.path() + ".addr", p.text("addr"));
+      peers.add(new Peer(p.text("node"), p.textOrNull("area"), address));
     }
+    return List.copyOf(peers);
+  }
+
+  private static Map<String, Team> teams(Fields cluster) throws InvalidField {
     Map<String, Team> teams = new LinkedHashMap<>();
     for (Fields t : cluster.objects("teams")) {
       Team team =
@@ -135,6 +172,10 @@
         throw new InvalidField(t.path() + ".name", "is there twice");
       }
     }
+    return teams;
+  }
+
+  private static List<Objective> objectives(Fields cluster) throws InvalidField {
     List<Objective> objectives = new ArrayList<>();
     if (cluster.has("objectives")) {
       for (Fields o : cluster.objects("objectives")) {
@@ -147,34 +188,6 @@
                 o.number("within_s", 0, MAX, 0)));
       }
     }
-    List<String> zones = cluster.textsOrNull("zones");
-    return new Settings(
-        f.text("node"),
-        f.textOrNull("area"),
-        Address.parse("serve_on", f.text("serve_on")),
-        Address.parse("peer_bind", f.text("peer_bind")),
-        List.copyOf(peers),
-        Address.parse("services.cloud", services.text("cloud")),
-        Address.parse("services.state", services.text("state")),
-        zones == null ? List.of() : zones,
-        teams,
-        List.copyOf(objectives),
-        workers.number("report_s", 0.01, MAX),
-        workers.number("lease_s", 0.1, MAX),
-        workers.number("cancel_s", 0.1, MAX),
-        rps,
-        writeRps,
-        next.number("rps", 1, MAX, rps),
-        next.number("write_rps", 1, MAX, writeRps),
-        Math.min(valueKb, next.number("value_kb", 1, MAX, valueKb)),
-        next.has("txn_ops")
-            ? Math.min(txnOps, (int) next.count("txn_ops", 2, MAX_TXN_OPS))
-            : txnOps,
-        cloud.number("rps", 0.01, MAX),
-        cloud.number("list_lag_s", 0, MAX),
-        limits.number("core_share", 0.001, MAX, 1),
-        limits.number("memory_mb", 1, MAX, 256),
-        (int) limits.number("sockets", 16, MAX, 1024),
-        cluster.number("clock_off_ms", 0, MAX, MAX) / 1000);
+    return List.copyOf(objectives);
   }
 }
--- a/src/main/java/org/saffronshore/control/Autoscaler.java
+++ b/src/main/java/org/saffronshore/control/Autoscaler.java
@@ -157,7 +157,7 @@
 
   /** Machines that are up, coming or asked for. */
   private List<Forecast.Line> lines(boolean released) {
-    List<Forecast.Line> lines = cluster.lines(LATE_BOOT, released);
+    List<Forecast.Line> lines = cluster.views().lines(LATE_BOOT, released);
     for (Order o : orders.values()) {
       MachineType type = cluster.types().get(o.kind.type());
       for (int i = 0; i < o.count && type != null; i++) {
@@ -190,7 +190,7 @@
     }
     double limit = dearest;
     List<Plan.Unmet> displaced =
-        DisplacedTasks.find(cluster.types(), scarce, late, cluster.runningOn(scarce));
+        DisplacedTasks.find(cluster.types(), scarce, late, cluster.views().runningOn(scarce));
     if (displaced.isEmpty()) {
       return;
     }
@@ -363,6 +363,7 @@
 
   // Returning
 
+  /** Why a machine is to be returned, or null when it is kept. */
   private String reason(Machine m, double now, Spare spare) {
     MachineType type = m.type() == null ? null : cluster.types().get(m.type());
     double boot = type == null ? settings.leaseS() : type.bootS();
@@ -370,19 +371,19 @@
       return "it has failed";
     }
     if (!m.everUp()) {
-      return now > m.rentedAt() + LOST_BOOT * boot && m.empty() && !cluster.isUnconfirmed(m)
-          ? "it never came up"
-          : null;
+      boolean lost = now > m.rentedAt() + LOST_BOOT * boot;
+      return lost && m.empty() && !cluster.isUnconfirmed(m) ? "it never came up" : null;
     }
     if (!m.up()) {
       return "it is lost";
     }
     if (cluster.unresponsiveMachines().isUnusable(m)) {
-      return "it does not hear us";
-    }
-    if (!m.empty() || !m.confirmed()) {
-      return null;
+      return "it does not respond to commands";
     }
+    return m.empty() && m.confirmed() ? reasonWhenEmpty(m, now, boot, spare) : null;
+  }
+
+  private String reasonWhenEmpty(Machine m, double now, double boot, Spare spare) {
     if (m.draining()) {
       return "its tasks went elsewhere";
     }
@@ -413,7 +414,7 @@
               .orElse(settings.leaseS());
       cluster.arrivals().expected(now, boot / 2).forEach(e -> fitting.put(e, 0.0));
       for (Machine m : cluster.machines()) {
-        Resources room = returning.contains(m.id()) ? null : cluster.freeOn(m);
+        Resources room = returning.contains(m.id()) ? null : cluster.views().freeOn(m);
         if (room != null) {
           rooms.put(m, room);
           fitting.replaceAll((e, sum) -> sum + on(m, e));
--- a/src/main/java/org/saffronshore/control/Consolidation.java
+++ b/src/main/java/org/saffronshore/control/Consolidation.java
@@ -49,10 +49,10 @@
         draining++;
         continue;
       }
-      Resources room = m.empty() ? null : cluster.freeOn(m);
+      Resources room = m.empty() ? null : cluster.views().freeOn(m);
       if (room != null) {
         rooms.put(m, room);
-        if (cluster.movable(m, MIN_RUN_S) && now > m.rentedAt() + MIN_CHARGED_S) {
+        if (cluster.views().movable(m, MIN_RUN_S) && now > m.rentedAt() + MIN_CHARGED_S) {
           leastFirst.add(m);
         }
       }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -176,7 +176,7 @@
           try {
             cycle(true);
             if (isActive() && loaded) {
-              LOG.info("term {}: {}", term, cluster.summary());
+              LOG.info("term {}: {}", term, cluster.views().summary());
             }
           } finally {
             period();
@@ -394,9 +394,9 @@
     cluster.takeChanged();
     Plan plan =
         Cycle.run(
-            cluster.hosts(),
-            cluster.pending(leadership.holdsStoreLease()),
-            cluster.teams(operator.tuning(), operator.teamWeights()),
+            cluster.views().hosts(),
+            cluster.views().pending(leadership.holdsStoreLease()),
+            cluster.views().teams(operator.tuning(), operator.teamWeights()),
             operator.tuning(),
             evict,
             random,
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -53,6 +53,7 @@
   private final MachineTypeCache types;
   private Leader leader;
 
+  /** Builds a controller; nothing runs before {@link #start}. */
   public Node(Loop loop, Settings settings, Client client, RandomGenerator random) {
     this.loop = loop;
     this.settings = settings;
@@ -172,6 +173,7 @@
 
   // Requests
 
+  /** Handles a request of a user, a worker or a health check. */
   public void handle(Request request, Reply reply) {
     String path = request.path();
     if (path.equals("/v1/report")) {
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -92,7 +92,7 @@
           answer -> {
             JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
             if (back != null) {
-              launchMarkSaved(peer);
+              peerAnswered(peer);
               receivedHeartbeat(back);
               if (Json.flag(back, "granted") && term == node.leadership().term()) {
                 node.leadership().recordGrant(peer.node(), askedAt);
@@ -108,7 +108,7 @@
     }
   }
 
-  private void launchMarkSaved(Peer peer) {
+  private void peerAnswered(Peer peer) {
     answeredAt = loop.now();
     reachedAt.put(peer.node(), answeredAt);
   }
@@ -256,7 +256,7 @@
           answer -> {
             JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
             if (back != null && Json.text(back, "life") != null) {
-              launchMarkSaved(peer);
+              peerAnswered(peer);
               votes.add(new Vote(peer.node(), Json.text(back, "life"), Json.flag(back, "granted")));
             }
             missing.remove(peer);
@@ -291,36 +291,39 @@
       reply.error(400, "not a message of a peer");
       return true;
     }
-    long term = Json.count(message, "term", -1);
     heardAt = loop.now();
     ObjectNode answer = self();
     if (outdated(from, life, Json.count(message, "n", 0))) {
       answer.put("granted", false);
-    } else if (path.equals(WITHDRAW)) {
-      node.leadership().peerWithdrew(from, life, term);
     } else {
-      if (path.equals(HEARTBEAT)) {
-        receivedHeartbeat(message);
-        if (term >= 0) {
-          tellCancellations(answer);
-        }
-      }
-      answer.put(
-          "granted",
-          term >= 0
-              && node.leadership()
-                  .grant(
-                      from,
-                      life,
-                      term,
-                      path.equals(VOTE),
-                      Json.flag(message, "served"),
-                      node.served()));
+      answer(path, message, answer);
     }
     reply.send(200, CBOR, Json.cbor(answer), 0);
     return true;
   }
 
+  private void answer(String path, JsonNode message, ObjectNode answer) {
+    String from = Json.text(message, "node");
+    String life = Json.text(message, "life");
+    long term = Json.count(message, "term", -1);
+    if (path.equals(WITHDRAW)) {
+      node.leadership().peerWithdrew(from, life, term);
+      return;
+    }
+    if (path.equals(HEARTBEAT)) {
+      receivedHeartbeat(message);
+      if (term >= 0) {
+        tellCancellations(answer);
+      }
+    }
+    boolean candidate = path.equals(VOTE);
+    boolean peerServed = Json.flag(message, "served");
+    answer.put(
+        "granted",
+        term >= 0
+            && node.leadership().grant(from, life, term, candidate, peerServed, node.served()));
+  }
+
   /**
    * To a leader, which may be refused by the state service while this node is served: what was
    * cancelled, so that it stops the tasks at once; and for how long nothing is missing, so that in
--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -55,67 +55,63 @@
   void submit(Request request, Reply reply) {
     double began = loop.now();
     JsonNode body = request.json();
-    JobSpec job = null;
-    String problem = null;
-    int verdict = 400;
+    JobSpec job;
     try {
-      if (body == null) {
-        throw new InvalidField("body", "is not JSON");
-      }
-      job = JobSpec.parse(body);
-      // The state service would refuse the whole transaction, and with it the submissions that
-      // share it.
-      if (Json.bytes(job.toJson()).length > settings.valueKb() * 1024 - RECORD_BYTES) {
-        throw new InvalidField("body", "is longer than what can be kept of a job");
-      }
-      if (types.get().isEmpty()) {
-        verdict = 503;
-        problem = "the machine types are not known yet";
-      } else {
-        problem = impossible(job);
-        verdict = 422;
-      }
+      job = parse(body);
     } catch (InvalidField e) {
-      problem = e.getMessage();
+      refuse(body == null ? null : Json.text(body, "Uid"), 400, e.getMessage(), reply);
+      return;
+    }
+    if (types.get().isEmpty()) {
+      refuse(job.id(), 503, "the machine types are not known yet", reply);
+      return;
     }
+    String problem = impossible(job);
     if (problem != null) {
-      refuse(body == null ? null : Json.text(body, "Uid"), verdict, problem, reply);
+      refuse(job.id(), 422, problem, reply);
       return;
     }
-    String id = job.id();
-    store.accept(
-        job,
-        loop.wallMs(),
-        accepted -> {
-          switch (accepted) {
-            case NEW, NEW_UNPROVEN -> {
-              metrics.add(Metrics.Count.SUBMITTED, 1);
-              metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
-              if (accepted == Accepted.NEW) {
-                respond(id, Status.OPEN, 201, reply);
-              } else {
-                // One of them may be cancelled already: then so is this one, and must not be called
-                // anything else.
-                store.look(id, status -> respond(id, status, 201, reply));
-              }
-            }
-            case KNOWN ->
-                store.look(
-                    id,
-                    status -> {
-                      if (status == Status.ABSENT) {
-                        respondUnavailable(reply);
-                      } else {
-                        respond(id, status, reply);
-                      }
-                    });
-            case OVERLOADED -> respondBusy(reply);
-            case MISSING ->
-                refuse(
-                    id, 422, JobSpec.DEPENDENCIES + ": names a job that was never accepted", reply);
-            default -> respondUnavailable(reply);
-          }
-        });
+    store.accept(job, loop.wallMs(), accepted -> submitted(job.id(), accepted, began, reply));
+  }
+
+  private JobSpec parse(JsonNode body) throws InvalidField {
+    if (body == null) {
+      throw new InvalidField("body", "is not JSON");
+    }
+    JobSpec job = JobSpec.parse(body);
+    // The state service would refuse the whole transaction, and with it the submissions that share
+    // it.
+    if (Json.bytes(job.toJson()).length > settings.valueKb() * 1024 - RECORD_BYTES) {
+      throw new InvalidField("body", "is longer than what can be kept of a job");
+    }
+    return job;
+  }
+
+  private void submitted(String id, Accepted accepted, double began, Reply reply) {
+    if (accepted == Accepted.NEW || accepted == Accepted.NEW_UNPROVEN) {
+      metrics.add(Metrics.Count.SUBMITTED, 1);
+      metrics.took(Metrics.Latency.SUBMIT, loop.now() - began);
+    }
+    switch (accepted) {
+      case NEW -> respond(id, Status.OPEN, 201, reply);
+      case NEW_UNPROVEN ->
+          // A needed job may be cancelled already: then so is this one, and must not be called
+          // anything else.
+          store.look(id, status -> respond(id, status, 201, reply));
+      case KNOWN -> store.look(id, status -> respondKnown(id, status, reply));
+      case OVERLOADED -> respondBusy(reply);
+      case MISSING ->
+          refuse(id, 422, JobSpec.DEPENDENCIES + ": names a job that was never accepted", reply);
+      default -> respondUnavailable(reply);
+    }
+  }
+
+  private void respondKnown(String id, Status status, Reply reply) {
+    if (status == Status.ABSENT) {
+      respondUnavailable(reply);
+    } else {
+      respond(id, status, reply);
+    }
   }
 
   /** Why a job can never run, or null. */
--- a/src/main/java/org/saffronshore/fleet/Forecast.java
+++ b/src/main/java/org/saffronshore/fleet/Forecast.java
@@ -27,6 +27,7 @@
     /** The earliest last, so that it is taken off the end. */
     private final ArrayList<Release> releases = new ArrayList<>(4);
 
+    /** A machine with this much free from a moment on. */
     public Line(MachineKind kind, Resources room, double openAt) {
       this.kind = kind;
       this.room = room;
--- a/src/main/java/org/saffronshore/http/Admission.java
+++ b/src/main/java/org/saffronshore/http/Admission.java
@@ -11,6 +11,7 @@
  */
 public final class Admission {
 
+  /** Ranks of work, the most urgent first. */
   public enum Rank {
     REPORT,
     DECISION,
@@ -24,6 +25,9 @@
   private final Map<Rank, ArrayDeque<Runnable>> waiting = new EnumMap<>(Rank.class);
   private boolean scheduled;
 
+  /**
+   * @param most how many requests of each rank may wait
+   */
   public Admission(Loop loop, Map<Rank, Integer> most) {
     this.loop = loop;
     this.most = most;
--- a/src/main/java/org/saffronshore/http/HttpClient.java
+++ b/src/main/java/org/saffronshore/http/HttpClient.java
@@ -53,6 +53,9 @@
   /** All of them, the one that has been idle for longest first. */
   private final Set<Kept> oldest = new LinkedHashSet<>();
 
+  /**
+   * @param idleS for how long an idle connection is kept
+   */
   public HttpClient(Loop loop, IoEventLoopGroup group, Sockets sockets, double idleS) {
     this.loop = loop;
     this.idleS = idleS;
--- a/src/main/java/org/saffronshore/http/HttpServer.java
+++ b/src/main/java/org/saffronshore/http/HttpServer.java
@@ -43,6 +43,7 @@
     this.sockets = sockets;
   }
 
+  /** Listens on an address. */
   public void start(IoEventLoopGroup group, Address address) throws InterruptedException {
     channel =
         new ServerBootstrap()
--- a/src/main/java/org/saffronshore/http/Loop.java
+++ b/src/main/java/org/saffronshore/http/Loop.java
@@ -6,6 +6,7 @@
  */
 public interface Loop {
 
+  /** A scheduled action that can be cancelled. */
   interface Timer {
     void cancel();
   }
--- a/src/main/java/org/saffronshore/http/Sockets.java
+++ b/src/main/java/org/saffronshore/http/Sockets.java
@@ -18,6 +18,7 @@
     this.most = most;
   }
 
+  /** Takes a socket; false when all are in use. */
   public boolean take() {
     if (taken >= most) {
       return false;
--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.saffronshore.config.Settings;
-import org.saffronshore.http.Answer;
 import org.saffronshore.http.Loop;
 import org.saffronshore.state.Keys;
 import org.saffronshore.state.StateClient;
@@ -44,8 +43,6 @@
    */
   private static final double LIFE_PER_LEASE = 1.0 / 5;
 
-  private static final double RENEWALS_PER_LIFE = 4;
-
   private final Loop loop;
   private final StateClient state;
   private final Settings settings;
@@ -54,6 +51,7 @@
   private final PeerVoting peerVoting;
   private final LeaseGrants leaseGrants;
   private final StateServiceVoting stateServiceVoting;
+  private final StoreLease lease;
   private final double lifeS;
 
   /** Distinguishes this process from earlier ones of the same node. */
@@ -61,11 +59,8 @@
 
   private boolean leading;
   private boolean campaigning;
-  private long lease;
   private long term;
   private long keyVersion;
-  private double validUntil = Double.NEGATIVE_INFINITY;
-  private int renewal;
   private String leaderNode;
   private long leaderTerm = -1;
 
@@ -76,6 +71,7 @@
   private double renewalsAllowedUntil = Double.NEGATIVE_INFINITY;
   private double campaignAgainAt = Double.NEGATIVE_INFINITY;
 
+  /** Takes part in elections once {@link #start} is called. */
   public Leadership(
       Loop loop,
       StateClient state,
@@ -91,6 +87,7 @@
     this.lifeS = Math.max(0.1, settings.leaseS() * LIFE_PER_LEASE);
     this.incarnation = Long.toHexString(random.nextLong());
     this.peerVoting = peerVoting;
+    this.lease = new StoreLease(loop, state, lifeS, () -> stepDown("its lease has expired"));
     this.leaseGrants = new LeaseGrants(loop, lifeS, settings.controllers());
     this.stateServiceVoting =
         new StateServiceVoting(loop, state, settings.node(), incarnation, lifeS / 2);
@@ -103,7 +100,7 @@
   /** Whether no other node may act, by the store lease or by the leases of a quorum. */
   public boolean holdsLease() {
     double now = loop.now();
-    return leading && (now < validUntil || now < leaseGrants.quorumLeaseUntil());
+    return leading && (lease.valid() || now < leaseGrants.quorumLeaseUntil());
   }
 
   /**
@@ -115,7 +112,7 @@
 
   /** Whether the store lease itself is known to live, and not only the leases of a quorum. */
   public boolean holdsStoreLease() {
-    return leading && loop.now() < validUntil;
+    return leading && lease.valid();
   }
 
   /**
@@ -259,48 +256,52 @@
             abandonCampaign(0);
             return;
           }
-          JsonNode last = old.path("Data");
-          long lastTerm = read.ok() ? Json.count(last, "Term", 0) : 0;
+          long lastTerm = read.ok() ? Json.count(old.path("Data"), "Term", 0) : 0;
           long version = read.ok() ? Json.count(old, "Stamp", 0) : 0;
-          // Its own lease first: two that grant theirs to each other, or a split vote, all fail.
-          boolean own = leaseGrants.grant(settings.node(), incarnation, lastTerm + 1);
-          if (!own && leaseGrants.grantedToOther(settings.node(), incarnation, lastTerm + 1)) {
-            // Another candidate holds it.
-            if (unreached > 1) {
-              campaignThroughStateService(lastTerm, version);
-            } else {
-              abandonCampaign(0);
-            }
+          campaign(old.path("Data"), lastTerm, version);
+        });
+  }
+
+  private void campaign(JsonNode last, long lastTerm, long version) {
+    long next = lastTerm + 1;
+    // Its own lease first: two that grant theirs to each other, or a split vote, all fail.
+    boolean own = leaseGrants.grant(settings.node(), incarnation, next);
+    if (!own && leaseGrants.grantedToOther(settings.node(), incarnation, next)) {
+      // Another candidate holds it.
+      campaignThroughStateServiceOrAbandon(unreached > 1, lastTerm, version);
+      return;
+    }
+    int ownVote = own ? 1 : 0;
+    peerVoting.requestVotes(
+        next,
+        votes -> isOver(last, votes) || decided(votes, ownVote),
+        votes -> {
+          boolean quorum = granted(votes) + ownVote >= leaseGrants.majority();
+          if (quorum || lastTerm == 0 || isOver(last, votes)) {
+            unreached = 0;
+            acquireLease(lastTerm, version);
             return;
           }
-          int ownVote = own ? 1 : 0;
-          peerVoting.requestVotes(
-              lastTerm + 1,
-              votes -> isOver(last, votes) || decided(votes, ownVote),
-              votes -> {
-                if (isOver(last, votes)
-                    || lastTerm == 0
-                    || granted(votes) + ownVote >= leaseGrants.majority()) {
-                  unreached = 0;
-                  grant(lastTerm, version);
-                  return;
-                }
-                LOG.debug(
-                    "{} has no quorum for term {}: {} of {} that answered granted their leases",
-                    settings.node(),
-                    lastTerm + 1,
-                    granted(votes),
-                    votes.size());
-                withdraw(lastTerm + 1);
-                if (votes.size() + 1 < leaseGrants.majority() && ++unreached > 1) {
-                  campaignThroughStateService(lastTerm, version);
-                } else {
-                  abandonCampaign(0);
-                }
-              });
+          LOG.debug(
+              "{} has no quorum for term {}: {} of {} that answered granted their leases",
+              settings.node(),
+              next,
+              granted(votes),
+              votes.size());
+          withdraw(next);
+          boolean mostSilent = votes.size() + 1 < leaseGrants.majority();
+          campaignThroughStateServiceOrAbandon(mostSilent && ++unreached > 1, lastTerm, version);
         });
   }
 
+  private void campaignThroughStateServiceOrAbandon(boolean through, long lastTerm, long version) {
+    if (through) {
+      campaignThroughStateService(lastTerm, version);
+    } else {
+      abandonCampaign(0);
+    }
+  }
+
   /**
    * Whether the missing votes cannot change the outcome: the leases of others are not held for
    * them.
@@ -327,7 +328,7 @@
         granted -> {
           if (elected(lastTerm + 1, granted.size())) {
             unreached = 0;
-            grant(lastTerm, termVersion);
+            acquireLease(lastTerm, termVersion);
           } else {
             abandonCampaign(0);
           }
@@ -357,12 +358,12 @@
         || leaseGrants.grant(settings.node(), incarnation, next);
   }
 
-  private void grant(long lastTerm, long termVersion) {
+  private void acquireLease(long lastTerm, long termVersion) {
     double sentAt = loop.now();
     state.grant(
         lifeS,
-        recordGrant -> {
-          JsonNode body = recordGrant.ok() ? recordGrant.json() : null;
+        granted -> {
+          JsonNode body = granted.ok() ? granted.json() : null;
           if (body == null) {
             abandonCampaign(0);
           } else {
@@ -402,20 +403,14 @@
           }
           campaigning = false;
           leading = true;
-          lease = mine;
           term = next;
           keyVersion = Json.count(body, "Ledger", 0);
-          validUntil = sentAt + Settings.shortestLocalTime(lifeS);
+          lease.begin(mine, sentAt);
           renewalsAllowedUntil = Double.NEGATIVE_INFINITY;
           leaseGrants.clearHeld();
-          renewal++;
           LOG.info(
-              "{} leads term {}: the leader's key was free; lease {}",
-              settings.node(),
-              term,
-              lease);
+              "{} leads term {}: the leader's key was free; lease {}", settings.node(), term, mine);
           listener.elected(term, keyVersion);
-          renewLater(renewal);
         });
   }
 
@@ -432,53 +427,6 @@
     }
   }
 
-  private void renewLater(int of) {
-    loop.after(
-        lifeS / RENEWALS_PER_LIFE,
-        () -> {
-          if (leading && of == renewal) {
-            renew(of);
-          }
-        });
-  }
-
-  private void renew(int of) {
-    double sentAt = loop.now();
-    state.renew(
-        lease,
-        Math.min(StateClient.TIMEOUT_S, lifeS / 2),
-        answer -> {
-          if (!leading || of != renewal) {
-            return;
-          }
-          if (answer.ok()) {
-            validUntil = Math.max(validUntil, sentAt + Settings.shortestLocalTime(lifeS));
-            renewLater(of);
-          } else if (answer.status() == 404) {
-            stepDown("its lease has expired");
-          } else {
-            missed(of, answer);
-          }
-        });
-  }
-
-  private void missed(int of, Answer answer) {
-    if (!holdsStoreLease()) {
-      // Not the end yet: after an outage of the state service every lease has its full time again.
-      LOG.debug(
-          "renewal failed with {}; active by the leases of a quorum: {}",
-          answer.status(),
-          isActive());
-    }
-    loop.after(
-        lifeS / 20,
-        () -> {
-          if (leading && of == renewal) {
-            renew(of);
-          }
-        });
-  }
-
   /** Steps down for the others, and lets them try for a while before it campaigns again. */
   public void yieldLeadership(String why) {
     campaignAgainAt = loop.now() + settings.leaseS() / 2;
@@ -492,13 +440,11 @@
     }
     LOG.info("{} ends leading term {}: {}", settings.node(), term, why);
     leading = false;
-    renewal++;
-    validUntil = Double.NEGATIVE_INFINITY;
     leaseGrants.clearHeld();
     leaderNode = null;
     leaderTerm = -1;
     listener.deposed(why);
     peerVoting.withdraw(term);
-    state.release(lease, released -> loop.after(lifeS / 2, this::readLeader));
+    lease.release(() -> loop.after(lifeS / 2, this::readLeader));
   }
 }
--- a/src/main/java/org/saffronshore/leadership/LeaseGrants.java
+++ b/src/main/java/org/saffronshore/leadership/LeaseGrants.java
@@ -22,6 +22,9 @@
   private double grantedUntil = Double.NEGATIVE_INFINITY;
   private final Map<String, Double> heldFrom = new HashMap<>();
 
+  /**
+   * @param lengthS how long a lease lasts
+   */
   public LeaseGrants(Loop loop, double lengthS, int nodes) {
     this.loop = loop;
     this.lengthS = lengthS;
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -316,9 +316,7 @@
     double bestLoss = Double.POSITIVE_INFINITY;
     boolean narrowed = false;
     for (Host host : hosts) {
-      if (!host.hasBelow(job.priority().ordinal()) && !(guaranteed && host.hasOthers(job.team()))
-          || !host.kind.allows(job)
-          || host.kept()) {
+      if (!mayHaveVictims(host, job, guaranteed)) {
         continue;
       }
       if (!pending.zoneAllowed(host.kind.zone()) || host.barred(task)) {
@@ -326,10 +324,7 @@
         continue;
       }
       List<HostedTask> victims = victims(host, job, guaranteed);
-      double loss =
-          victims == null
-              ? Double.POSITIVE_INFINITY
-              : victims.stream().mapToDouble(s -> s.lostS(now) * tuning.cost(s.job())).sum();
+      double loss = victims == null ? Double.POSITIVE_INFINITY : loss(victims);
       if (loss < bestLoss) {
         best = host;
         bestVictims = victims;
@@ -355,24 +350,24 @@
     return best;
   }
 
+  private static boolean mayHaveVictims(Host host, JobSpec job, boolean guaranteed) {
+    boolean lower = host.hasBelow(job.priority().ordinal());
+    boolean others = guaranteed && host.hasOthers(job.team());
+    return (lower || others) && host.kind.allows(job) && !host.kept();
+  }
+
+  /** The work that stopping these tasks would waste. */
+  private double loss(List<HostedTask> victims) {
+    return victims.stream().mapToDouble(this::loss).sum();
+  }
+
+  private double loss(HostedTask victim) {
+    return victim.lostS(now) * tuning.cost(victim.job());
+  }
+
+  /** The tasks to stop on a host so that the job's task fits there; null when that cannot be. */
   private List<HostedTask> victims(Host host, JobSpec job, boolean guaranteed) {
-    List<HostedTask> candidates = new ArrayList<>();
-    for (HostedTask slot : host.slots) {
-      Team owner = teams.get(slot.job().team());
-      if (owner == null) {
-        continue;
-      }
-      boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
-      boolean own = slot.job().team().equals(job.team());
-      // Of two teams only the one within its guarantee may stop the other, or they would take turns
-      // at it.
-      if (lower && (guaranteed || own)
-          || (lower || guaranteed && !own) && owner.beyondGuarantee(slot.job())) {
-        candidates.add(slot);
-      }
-    }
-    candidates.sort(
-        Comparator.comparingDouble((HostedTask s) -> s.lostS(now) * tuning.cost(s.job())));
+    List<HostedTask> candidates = candidates(host, job, guaranteed);
     Resources room = host.room.copy();
     List<HostedTask> victims = new ArrayList<>();
     Map<String, Resources> taken = new HashMap<>();
@@ -385,11 +380,8 @@
               && (guaranteed || slot.job().team().equals(job.team()));
       Resources sum = taken.computeIfAbsent(slot.job().team(), t -> new Resources(0, 0, 0));
       sum.give(slot.job());
-      Team owner = teams.get(slot.job().team());
       // Several victims of one team may together reach into its guarantee even if none does alone.
-      if (!lower
-          && (owner.rights.cpus() > 0 && owner.cpus - sum.cpus < owner.rights.cpus() - 1e-6
-              || owner.rights.gpus() > 0 && owner.gpus - sum.gpus < owner.rights.gpus() - 1e-6)) {
+      if (!lower && teams.get(slot.job().team()).guaranteeReachedBy(sum)) {
         sum.take(slot.job());
         continue;
       }
@@ -398,4 +390,25 @@
     }
     return room.fits(job) && !victims.isEmpty() ? victims : null;
   }
+
+  /** Tasks that may be stopped for the job by the rules of preemption, the least loss first. */
+  private List<HostedTask> candidates(Host host, JobSpec job, boolean guaranteed) {
+    List<HostedTask> candidates = new ArrayList<>();
+    for (HostedTask slot : host.slots) {
+      Team owner = teams.get(slot.job().team());
+      if (owner == null) {
+        continue;
+      }
+      boolean lower = slot.job().priority().ordinal() < job.priority().ordinal();
+      boolean own = slot.job().team().equals(job.team());
+      // Of two teams only the one within its guarantee may stop the other, or they would take turns
+      // at it.
+      if (lower && (guaranteed || own)
+          || (lower || guaranteed && !own) && owner.beyondGuarantee(slot.job())) {
+        candidates.add(slot);
+      }
+    }
+    candidates.sort(Comparator.comparingDouble(this::loss));
+    return candidates;
+  }
 }
--- a/src/main/java/org/saffronshore/scheduling/Plan.java
+++ b/src/main/java/org/saffronshore/scheduling/Plan.java
@@ -12,6 +12,7 @@
    */
   public record Placement(TaskId task, String host, boolean overdue) {}
 
+  /** A task that is to be stopped, and the reason for the log. */
   public record Stop(TaskId task, String host, String why) {}
 
   /**
--- a/src/main/java/org/saffronshore/scheduling/Resources.java
+++ b/src/main/java/org/saffronshore/scheduling/Resources.java
@@ -10,6 +10,7 @@
   public double gpus;
   public double memoryGb;
 
+  /** An amount of each resource. */
   public Resources(double cpus, double gpus, double memoryGb) {
     this.cpus = cpus;
     this.gpus = gpus;
@@ -29,12 +30,14 @@
     return fits(job, cpus, gpus, memoryGb);
   }
 
+  /** Whether a task fits into this much of each resource. */
   public static boolean fits(JobSpec job, double cpus, double gpus, double memoryGb) {
     return cpus + EPSILON >= job.cpus()
         && gpus + EPSILON >= job.gpus()
         && memoryGb + EPSILON >= job.memoryGb();
   }
 
+  /** Takes what one task uses. */
   public void take(JobSpec job) {
     cpus -= job.cpus();
     gpus -= job.gpus();
@@ -45,12 +48,14 @@
     give(job, 1);
   }
 
+  /** Gives back what some tasks use. */
   public void give(JobSpec job, int tasks) {
     cpus += job.cpus() * tasks;
     gpus += job.gpus() * tasks;
     memoryGb += job.memoryGb() * tasks;
   }
 
+  /** Adds another amount. */
   public void give(Resources other) {
     cpus += other.cpus;
     gpus += other.gpus;
--- a/src/main/java/org/saffronshore/scheduling/Team.java
+++ b/src/main/java/org/saffronshore/scheduling/Team.java
@@ -80,6 +80,12 @@
         && (rights.gpus() <= 0 || gpus - job.gpus() >= rights.gpus() - EPSILON);
   }
 
+  /** Whether without these tasks of its own the team would have less than it is guaranteed. */
+  boolean guaranteeReachedBy(Resources stopped) {
+    return rights.cpus() > 0 && cpus - stopped.cpus < rights.cpus() - EPSILON
+        || rights.gpus() > 0 && gpus - stopped.gpus < rights.gpus() - EPSILON;
+  }
+
   /** The fraction of its fair share that the team would have with one more task of this cost. */
   double fraction(double more) {
     return (cost + more) / weight;
--- a/src/main/java/org/saffronshore/state/JobStore.java
+++ b/src/main/java/org/saffronshore/state/JobStore.java
@@ -70,6 +70,7 @@
   private final SubmissionQueue submissions;
   private Consumer<String> onCancelled = id -> {};
 
+  /** Uses the state service within this node's share of its rates. */
   public JobStore(Loop loop, StateClient state, Settings settings) {
     this.loop = loop;
     this.state = state;
--- a/src/main/java/org/saffronshore/state/Keys.java
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -53,6 +53,7 @@
     return VOTES + node;
   }
 
+  /** The job or machine that a key or an entry's name is about. */
   public static String idOf(String key) {
     int from = key.indexOf('/') + 1;
     int to = key.indexOf('/', from);
--- a/src/main/java/org/saffronshore/state/RateLimiter.java
+++ b/src/main/java/org/saffronshore/state/RateLimiter.java
@@ -54,6 +54,7 @@
     return level - RESERVED * burst();
   }
 
+  /** Spends some of the share; false when that is not there. Vital requests may use the reserve. */
   public boolean take(double amount, boolean vital) {
     fill();
     double floor = vital ? 0 : Math.min(burst() * RESERVED, burst() - amount);
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -48,6 +48,7 @@
 
   private static final double LEADER_WRITES = 0.3;
 
+  /** A key with its value and its version. */
   public record Entry(String key, JsonNode value, long version) {}
 
   /** All keys under a prefix, and the revision from which a watch on them continues. */
@@ -78,6 +79,7 @@
 
   private double triedAt;
 
+  /** Uses the service within this node's share of its rates. */
   public StateClient(Loop loop, Client client, Settings settings) {
     this.loop = loop;
     this.client = client;
@@ -178,6 +180,7 @@
     send("GET", "/kv/" + key, null, TIMEOUT_S, vital, then);
   }
 
+  /** Sends a transaction: 200 when it was carried out, 409 when a guard failed. */
   public void commit(Txn txn, boolean vital, Answer.Receiver then) {
     if (txn.changes() > 0 && !writes.take(txn.changes(), vital)) {
       loop.soon(() -> then.receive(OVER_BUDGET));
@@ -186,6 +189,7 @@
     send("POST", "/commit", txn.bytes(), TIMEOUT_S, vital, then);
   }
 
+  /** Creates a lease: 200 with its id. */
   public void grant(double lifeS, Answer.Receiver then) {
     send(
         "POST",
--- a/src/main/java/org/saffronshore/wire/Command.java
+++ b/src/main/java/org/saffronshore/wire/Command.java
@@ -7,6 +7,7 @@
 /** An order to a worker about one attempt at one task. */
 public record Command(Op op, TaskId task, long attempt, double graceS) {
 
+  /** What a worker is to do. */
   public enum Op {
     START,
     STOP,
@@ -25,6 +26,7 @@
     return new Command(Op.FORGET, task, attempt, 0);
   }
 
+  /** Adds commands to a message to a worker. */
   public static void write(ObjectNode message, List<Command> commands) {
     ArrayNode calls = message.putArray("Calls");
     for (Command c : commands) {
--- a/src/main/java/org/saffronshore/wire/Fields.java
+++ b/src/main/java/org/saffronshore/wire/Fields.java
@@ -7,6 +7,7 @@
 /** Checked access to the fields of an object; every failure names the field by its path. */
 public record Fields(JsonNode node, String path) {
 
+  /** The fields of a value that has to be an object. */
   public static Fields of(JsonNode node, String path) throws InvalidField {
     if (node == null || !node.isObject()) {
       throw new InvalidField(path.isEmpty() ? "body" : path, "must be an object");
@@ -30,6 +31,7 @@
     return of(node.get(field), at(field));
   }
 
+  /** A list of objects that has to be there. */
   public List<Fields> objects(String field) throws InvalidField {
     List<Fields> all = new ArrayList<>();
     JsonNode values = node.get(field);
@@ -42,6 +44,7 @@
     return all;
   }
 
+  /** A text that has to be there and not empty. */
   public String text(String field) throws InvalidField {
     JsonNode value = node.get(field);
     if (absent(value) || !value.isTextual() || value.textValue().isEmpty()) {
@@ -54,6 +57,7 @@
     return has(field) ? text(field) : null;
   }
 
+  /** A list of texts, or null when it is absent or null. */
   public List<String> textsOrNull(String field) throws InvalidField {
     if (!has(field)) {
       return null;
@@ -72,6 +76,7 @@
     return List.copyOf(all);
   }
 
+  /** A number that has to be there and in a range. */
   public double number(String field, double least, double most) throws InvalidField {
     JsonNode value = node.get(field);
     if (absent(value) || !value.isNumber()) {
@@ -89,6 +94,7 @@
     return has(field) ? number(field, least, most) : otherwise;
   }
 
+  /** A whole number that has to be there and in a range. */
   public long count(String field, long least, long most) throws InvalidField {
     double number = number(field, least, most);
     if (number != Math.rint(number)) {
@@ -97,6 +103,7 @@
     return node.get(field).longValue();
   }
 
+  /** A boolean that has to be there. */
   public boolean flag(String field) throws InvalidField {
     JsonNode value = node.get(field);
     if (absent(value) || !value.isBoolean()) {
--- a/src/main/java/org/saffronshore/wire/JobSpec.java
+++ b/src/main/java/org/saffronshore/wire/JobSpec.java
@@ -48,6 +48,7 @@
     return text != null && ID.matcher(text).matches();
   }
 
+  /** Reads a submission or a stored job; a failure names the field. */
   public static JobSpec parse(JsonNode body) throws InvalidField {
     Fields f = Fields.of(body, "");
     String id = f.text("Uid");
@@ -191,6 +192,7 @@
         List.copyOf(others));
   }
 
+  /** The form in which users submit a job and in which it is stored. */
   public ObjectNode toJson() {
     ObjectNode o = Json.object();
     o.put("Uid", id)
--- a/src/main/java/org/saffronshore/wire/MachineType.java
+++ b/src/main/java/org/saffronshore/wire/MachineType.java
@@ -19,6 +19,7 @@
     double bootS,
     List<String> zones) {
 
+  /** Reads the cloud's answer to a question for its machine types. */
   public static Map<String, MachineType> parseAll(JsonNode body) throws InvalidField {
     Map<String, MachineType> all = new LinkedHashMap<>();
     double most = 1e9;
@@ -58,6 +59,7 @@
                 other.zones));
   }
 
+  /** Whether a task fits on an empty machine that the job allows. */
   public boolean fits(JobSpec job) {
     return cpus >= job.cpus()
         && gpus >= job.gpus()
--- a/src/main/java/org/saffronshore/wire/Priority.java
+++ b/src/main/java/org/saffronshore/wire/Priority.java
@@ -17,6 +17,7 @@
     return wire;
   }
 
+  /** Reads the name that the protocol uses. */
   public static Priority of(String text) throws InvalidField {
     for (Priority p : values()) {
       if (p.wire.equals(text)) {
--- a/src/main/java/org/saffronshore/wire/Report.java
+++ b/src/main/java/org/saffronshore/wire/Report.java
@@ -19,6 +19,7 @@
     Double noticeS,
     List<Task> tasks) {
 
+  /** States of a task on a machine. */
   public enum State {
     FETCHING,
     RUNNING,
@@ -26,6 +27,7 @@
     EXITED
   }
 
+  /** Why a task exited. */
   public enum Why {
     DONE,
     STOPPED,
@@ -36,6 +38,7 @@
     NONE
   }
 
+  /** A task on a machine, as its worker sees it. */
   public record Task(TaskId task, long attempt, State state, Why why) {}
 
   /**
--- a/src/main/java/org/saffronshore/wire/TaskId.java
+++ b/src/main/java/org/saffronshore/wire/TaskId.java
@@ -3,6 +3,7 @@
 /** One task of a job, written {@code wk-000412/3}. */
 public record TaskId(String job, int index) {
 
+  /** Reads the form job/index. */
   public static TaskId parse(String text) throws InvalidField {
     int slash = text.indexOf('/');
     try {
--- a/src/test/java/org/saffronshore/Samples.java
+++ b/src/test/java/org/saffronshore/Samples.java
@@ -19,6 +19,7 @@
 
   private Samples() {}
 
+  /** A settings file of three controllers, as a tree that a test may change. */
   public static ObjectNode settingsJson() {
     return (ObjectNode)
         Json.parse(
@@ -34,6 +35,7 @@
                 .getBytes());
   }
 
+  /** The same, read. */
   public static Settings settings() {
     try {
       return Settings.parse(settingsJson());
@@ -42,6 +44,7 @@
     }
   }
 
+  /** A job that needs no other and may run anywhere. */
   public static JobSpec job(String id, String team, Priority priority, int tasks, double cpus) {
     return new JobSpec(
         id,
--- /dev/null
+++ b/src/test/java/org/saffronshore/cluster/MachineRemovalTest.java
@@ -0,0 +1,100 @@
+package org.saffronshore.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.saffronshore.Samples.report;
+import static org.saffronshore.Samples.task;
+
+import java.util.BitSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Priority;
+import org.saffronshore.wire.Report;
+import org.saffronshore.wire.Report.State;
+import org.saffronshore.wire.Report.Why;
+
+/** Machines that are taken back, or emptied and returned. */
+class MachineRemovalTest extends ClusterTestBase {
+  /**
+   * Saves or not, estimate of 30 s, seconds run before a notice of 14 s: is the task stopped for it
+   * at once?
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 1, true", "true, 24, false", "false, 1, true", "false, 20, false"})
+  void aNoticeStopsWhatCannotEndInTime(boolean saves, double ran, boolean stopped) {
+    JobSpec job =
+        new JobSpec(
+            "wk-1",
+            "class",
+            "red",
+            Priority.STANDARD,
+            1,
+            4,
+            0,
+            1,
+            "image",
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            30,
+            saves ? 10 : 0,
+            saves ? 2 : 0,
+            Double.POSITIVE_INFINITY);
+    cluster.addJob(job, 101, 0, new BitSet(), Integer.MAX_VALUE);
+    Machine m = up("host-1");
+    long attempt = launch(m).launches().get(0).number();
+    Report.Task running = task("wk-1", 0, attempt, State.RUNNING, Why.NONE);
+    cluster.reported(report("host-1", 1, 50, TERM, running));
+    loop.pass(ran);
+    cluster.reported(
+        new Report(
+            "host-1", "10.1.0.1:9000", "big", "a", true, 1, 51, TERM, 14.0, List.of(running)));
+    assertEquals(stopped, m.attempts().iterator().next().stopping());
+    assertFalse(m.usable(loop.now()));
+  }
+
+  @Test
+  void onlyWhatSavesAndRanForAWhileIsMoved() {
+    JobSpec job =
+        new JobSpec(
+            "wk-1",
+            "class",
+            "red",
+            Priority.STANDARD,
+            1,
+            4,
+            0,
+            1,
+            "image",
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            300,
+            10,
+            2,
+            Double.POSITIVE_INFINITY);
+    cluster.addJob(job, 101, 0, new BitSet(), Integer.MAX_VALUE);
+    Machine m = up("host-1");
+    long attempt = launch(m).launches().get(0).number();
+    cluster.reported(
+        report("host-1", 1, 50, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)));
+    assertFalse(cluster.views().movable(m, 10));
+    loop.pass(11);
+    cluster.reported(
+        report("host-1", 1, 51, TERM, task("wk-1", 0, attempt, State.RUNNING, Why.NONE)));
+    assertTrue(cluster.views().movable(m, 10));
+    cluster.empty(m);
+    assertTrue(m.draining() && !m.usable(loop.now()));
+    assertFalse(placeable(), "it is there until it has saved");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/cluster/SessionAndZoneTest.java
@@ -0,0 +1,126 @@
+package org.saffronshore.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.saffronshore.Samples.report;
+import static org.saffronshore.Samples.task;
+
+import java.util.BitSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.Samples;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Priority;
+import org.saffronshore.wire.Report.State;
+import org.saffronshore.wire.Report.Why;
+
+/** Sessions, zones and back-offs when several faults meet. */
+class SessionAndZoneTest extends ClusterTestBase {
+  /**
+   * A machine that reaches no controller is asked by the new leader, and answers from a session
+   * that began a moment ago, when the last one's lease was over. That session's lease is as long
+   * again, whoever was last answered when.
+   */
+  @ParameterizedTest
+  @CsvSource({"0.5, false", "1.1, true"})
+  void aSessionFoundByACallHasAWholeLease(double leasesLater, boolean placeable) {
+    cluster.addRegistered("host-1", 90, null);
+    cluster.listed("host-1", "10.1.0.1:9000", "big", "a", true, false, 90);
+    Machine m = cluster.machine("host-1");
+    cluster.called(cluster.call(m), true, false, report("host-1", 1, ++seq, TERM));
+    cluster.registry().entered(List.of(m));
+    job(KEY + 1);
+    loop.pass(Samples.LEASE_S * 0.7);
+    cluster.answered(
+        m, report("host-1", 2, ++seq, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)));
+    assertFalse(placeable());
+    loop.pass(Samples.LEASE_S * leasesLater);
+    cluster.expireLeases();
+    assertEquals(placeable, placeable());
+  }
+
+  /**
+   * Answers to calls say nothing of whether a worker reaches us: what it is given would end with
+   * its lease.
+   */
+  @Test
+  void aMachineThatOnlyAnswersCallsGetsNoMoreWork() {
+    Machine m = up("host-1");
+    for (int i = 0; i < 6; i++) {
+      loop.pass(Samples.settings().reportS() / 2);
+      cluster.answered(m, report("host-1", 1, ++seq, TERM));
+    }
+    assertTrue(cluster.views().hosts().isEmpty());
+    cluster.reported(report("host-1", 1, ++seq, TERM));
+    assertEquals(1, cluster.views().hosts().size());
+  }
+
+  /**
+   * A task on a machine that nobody has found yet is in a zone that nobody knows: the others cannot
+   * choose theirs.
+   */
+  @ParameterizedTest
+  @CsvSource({"false, false, true", "true, false, false", "false, true, false"})
+  void aJobBoundToZonesWaitsForItsUnseenTasks(boolean oneZone, boolean spread, boolean placeable) {
+    cluster.addRegistered("host-1", 90, null);
+    up("host-2");
+    JobSpec plain = Samples.job("wk-1", "red", Priority.STANDARD, 4, 4);
+    cluster.addJob(
+        new JobSpec(
+            "wk-1",
+            "class",
+            "red",
+            Priority.STANDARD,
+            4,
+            4,
+            0,
+            1,
+            "image",
+            1,
+            null,
+            null,
+            oneZone,
+            spread,
+            true,
+            30,
+            0,
+            0,
+            plain.deadlineS()),
+        1,
+        0,
+        new BitSet(),
+        2);
+    assertEquals(placeable, placeable(), "its last two tasks were never launched");
+    loop.pass(Samples.LEASE_S * 1.1);
+    up("host-2");
+    cluster.expireLeases();
+    assertTrue(placeable());
+  }
+
+  /**
+   * While machines fail all they start, good jobs look bad. Once that is over they must not wait
+   * for long.
+   */
+  @Test
+  void noJobIsLeftAloneForLongerThanALease() {
+    cluster.addJob(
+        Samples.job("wk-1", "red", Priority.STANDARD, 40, 1),
+        KEY + 1,
+        0,
+        new BitSet(),
+        Integer.MAX_VALUE);
+    for (int i = 0; i < 20; i++) {
+      up("host-" + i);
+      cluster.reported(
+          report("host-" + i, 1, ++seq, TERM, task("wk-1", i, 7, State.RUNNING, Why.NONE)));
+      cluster.reported(
+          report("host-" + i, 1, ++seq, TERM, task("wk-1", i, 7, State.EXITED, Why.ERROR)));
+    }
+    assertFalse(placeable());
+    loop.pass(Samples.LEASE_S + 0.1);
+    assertTrue(placeable());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/control/IsolatedControllerTest.java
@@ -0,0 +1,244 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.Samples;
+import org.saffronshore.config.Settings;
+import org.saffronshore.config.Settings.Address;
+import org.saffronshore.http.Answer;
+import org.saffronshore.http.Request;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.Json;
+
+/** A controller that is cut off from the state service, its peers or both. */
+class IsolatedControllerTest extends NodeTestBase {
+  /** Cut off from the state service and from its peers, which it has, but not from its workers. */
+  private void onlyWorkersAreLeft() throws InvalidField {
+    process.dead = true;
+    process = new Process("n-0", true);
+    loop.pass(30);
+    machine("a");
+    loop.pass(10);
+    process.ask("POST", "/work", job("wk-1", 1).toJson(), 201);
+    state.silent = true;
+  }
+
+  private int reportStatus() {
+    int[] status = new int[1];
+    process.node.handle(
+        new Request("POST", "/v1/report", Json.bytes(workers.values().iterator().next().report())),
+        (code, type, bytes, r) -> {
+          status[0] = code;
+          assertTrue(code == 200 || !Json.parse(bytes).has("Dispatcher"), new String(bytes));
+        });
+    loop.pass(0.01);
+    return status[0];
+  }
+
+  /**
+   * It stops acting when its permit is over, and names nobody to its workers, itself least of all.
+   */
+  @Test
+  void aLeaderWithOnlyItsWorkersStopsActing() throws InvalidField {
+    onlyWorkersAreLeft();
+    assertEquals(200, reportStatus());
+    loop.pass(Samples.LEASE_S / 5 + 0.1);
+    assertEquals(421, reportStatus());
+    loop.pass(20);
+    assertEquals(421, reportStatus());
+    state.silent = false;
+    loop.pass(20);
+    assertEquals(200, reportStatus(), "and leads again, in a new term, once it is back");
+  }
+
+  /**
+   * Users are refused at once and not after a time-out each, and the balancer is told to send them
+   * elsewhere.
+   */
+  @Test
+  void aNodeWithOnlyItsWorkersRefusesUsersAtOnce() throws InvalidField {
+    onlyWorkersAreLeft();
+    loop.pass(8);
+    for (int i = 0; i < 5; i++) {
+      double began = loop.now();
+      process.ask("GET", "/work/wk-1", null, 503);
+      process.ask("POST", "/work", job("wk-2", 1).toJson(), 503);
+      assertTrue(loop.now() < began + 0.1, "after " + (loop.now() - began) + " s");
+    }
+    process.ask("GET", "/healthz", null, 503);
+    state.silent = false;
+    loop.pass(5);
+    process.ask("GET", "/healthz", null, 200);
+    process.ask("POST", "/work", job("wk-2", 1).toJson(), 201);
+  }
+
+  /** What others told users while it was cut off, it tells as well as soon as it tells anything. */
+  @Test
+  void aNodeThatIsBackGivesNoOlderAnswer() throws InvalidField {
+    onlyWorkersAreLeft();
+    state.remove("j/wk-1");
+    state.put("f/wk-1", Json.object().put("State", "aborted"));
+    loop.pass(8);
+    process.ask("GET", "/work/wk-1", null, 503);
+    state.silent = false;
+    loop.pass(5);
+    assertEquals("aborted", status("wk-1"));
+  }
+
+  /**
+   * A peer was last served so long after this node was; the state service has been away for it for
+   * 8 s.
+   */
+  @ParameterizedTest
+  @CsvSource({"0.5, 200", "1.5, 200", "7, 503"})
+  void onlyANodeThatAloneIsRefusedSendsItsUsersAway(double laterS, int status) throws InvalidField {
+    process.dead = true;
+    process = new Process("n-0", true);
+    loop.pass(5);
+    state.away = (method, path) -> true;
+    loop.pass(8);
+    double servedS = loop.now() - process.node.state().answeredAt() - laterS;
+    process
+        .node
+        .peers()
+        .handle(
+            new Request(
+                "POST",
+                "/peer/hello",
+                Json.cbor(
+                    Json.object()
+                        .put("node", "n-1")
+                        .put("life", "x")
+                        .put("n", 1)
+                        .put("served", laterS > 5)
+                        .put("served_s", servedS))),
+            (code, type, bytes, r) -> assertEquals(200, code));
+    process.ask("GET", "/healthz", null, status);
+  }
+
+  /**
+   * A leader that is refused alone does not go on with its peers' time; one in an outage of all
+   * does.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 421", "false, 200"})
+  void aLeaderThatIsRefusedAloneMakesWay(boolean othersServed, int status) throws InvalidField {
+    onlyWorkersAreLeft();
+    state.silent = false;
+    state.away = (method, path) -> true;
+    long term = process.node.leadership().term();
+    for (int i = 0; i < 12; i++) {
+      process.node.leadership().recordGrant("n-1", loop.now());
+      process
+          .node
+          .peers()
+          .handle(
+              new Request(
+                  "POST",
+                  "/peer/hello",
+                  Json.cbor(
+                      Json.object()
+                          .put("node", "n-1")
+                          .put("life", "x")
+                          .put("n", i + 1)
+                          .put("served", othersServed)
+                          .put("served_s", othersServed ? 0.1 : 1e9))),
+              (code, type, bytes, r) -> assertEquals(200, code));
+      loop.pass(0.5);
+    }
+    assertEquals(status, reportStatus());
+    assertEquals(term, process.node.leadership().term());
+  }
+
+  /**
+   * A candidate holds the time of others while it waits for answers: not for those of a peer that
+   * is long gone.
+   */
+  @Test
+  void aPeerThatLeftGreetingsUnansweredIsNotWaitedFor() throws InvalidField {
+    Settings settings = Settings.parse(Samples.settingsJson());
+    process.dead = true;
+    List<Address> gone = new ArrayList<>();
+    Node node =
+        new Node(
+            loop,
+            settings,
+            (to, method, path, body, timeoutS, then) -> {
+              boolean answers = path.startsWith("/peer/") && !gone.contains(to);
+              loop.after(
+                  answers ? 0.001 : timeoutS,
+                  () ->
+                      then.receive(
+                          answers
+                              ? new Answer(
+                                  200,
+                                  Json.cbor(Json.object().put("life", "x").put("granted", false)))
+                              : Answer.NOT_SENT));
+            },
+            new Random(1));
+    node.peers().start();
+    loop.pass(3);
+    gone.add(settings.peers().get(1).address());
+    assertEquals(-1, askedFor(node), "one that was there a moment ago is waited for");
+    loop.pass(5);
+    assertEquals(1, askedFor(node));
+    gone.add(settings.peers().get(0).address());
+    loop.pass(5);
+    assertEquals(0, askedFor(node), "nobody is left to wait for");
+  }
+
+  /** How many votes are told within a tenth of a second; -1 when more are waited for. */
+  private int askedFor(Node node) {
+    int[] told = {-1};
+    node.peers().requestVotes(1, votes -> false, votes -> told[0] = votes.size());
+    loop.pass(0.1);
+    return told[0];
+  }
+
+  private boolean recordGrant(String path, String from, String life, long n, long term) {
+    boolean[] recordGrant = new boolean[1];
+    process
+        .node
+        .peers()
+        .handle(
+            new Request(
+                "POST",
+                path,
+                Json.cbor(
+                    Json.object()
+                        .put("node", from)
+                        .put("life", life)
+                        .put("n", n)
+                        .put("term", term)
+                        .put("served", true))),
+            (code, type, bytes, r) -> recordGrant[0] = Json.flag(Json.parseCbor(bytes), "granted"));
+    return recordGrant[0];
+  }
+
+  /**
+   * A candidate asks, gives up, asks again and leads; then its giving up comes late, or once more.
+   * Were it heeded, the next one would be given time that the first still counts on.
+   */
+  @ParameterizedTest
+  @CsvSource({"2, false", "4, true"})
+  void anOvertakenGivingUpIsNotHeeded(long n, boolean heeded) throws InvalidField {
+    process.dead = true;
+    state.silent = true;
+    process = new Process("n-0", true);
+    loop.pass(Samples.LEASE_S / 5 * 1.01);
+    assertTrue(recordGrant("/peer/vote", "n-1", "x", 1, 7));
+    assertFalse(recordGrant("/peer/vote", "n-2", "y", 1, 8), "it has given its time");
+    assertTrue(recordGrant("/peer/vote", "n-1", "x", 3, 7));
+    recordGrant("/peer/giveup", "n-1", "x", n, 7);
+    assertEquals(heeded, recordGrant("/peer/vote", "n-2", "y", 2, 8));
+    assertFalse(recordGrant("/peer/vote", "n-2", "y", 2, 8), "a copy is given nothing");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/control/NodeTestBase.java
@@ -0,0 +1,28 @@
+package org.saffronshore.control;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.saffronshore.Samples;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Priority;
+
+/** One whole controller with fakes of everything around it. */
+abstract class NodeTestBase extends ClusterSimulation {
+  @BeforeEach
+  void start() throws InvalidField {
+    process = new Process("n-0");
+    loop.pass(2);
+  }
+
+  static JobSpec job(String id, int tasks) {
+    return Samples.job(id, "red", Priority.STANDARD, tasks, 4);
+  }
+
+  String status(String id) {
+    return process.ask("GET", "/work/" + id, null, 200).get("Status").asText();
+  }
+
+  void submit(JobSpec job) {
+    process.ask("POST", "/work", job.toJson(), 201);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/control/StateServiceLimitsTest.java
@@ -0,0 +1,80 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.Test;
+import org.saffronshore.Samples;
+import org.saffronshore.http.Request;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.Priority;
+
+/** The state service takes less from some moment on, without notice. */
+class StateServiceLimitsTest extends NodeTestBase {
+  /**
+   * Sizes keep to the smaller limits from the start, and what was written under the larger ones is
+   * read and split. A job with more tasks than a short value can tell of is not run again either.
+   */
+  @Test
+  void keepsToTheLimitsThatAreToCome() throws InvalidField {
+    ObjectNode unlimited = Samples.settingsJson();
+    unlimited.withObject("/cluster/teams/0").put("cpus_max", 0);
+    process.dead = true;
+    process = new Process("n-0", false, unlimited.deepCopy());
+    loop.pass(2);
+    for (int i = 0; i < 60; i++) {
+      submit(job("wk-" + i, 4));
+    }
+    loop.pass(15);
+    int machines = workers.size();
+    assertEquals(240, starts.size());
+    ObjectNode next = unlimited;
+    next.withObject("/cluster/state/next")
+        .put("value_kb", 1)
+        .put("txn_ops", 4)
+        .put("write_rps", 100);
+    process.dead = true;
+    process = new Process("n-0", false, next);
+    state.valueBytes = 1024;
+    state.txnOps = 4;
+    loop.pass(2);
+    submit(Samples.job("wk-100", "free", Priority.STANDARD, 12_000, 0.002));
+    loop.pass(RUN_S + 40);
+    for (int i = 0; i < 60; i++) {
+      assertEquals("done", status("wk-" + i));
+    }
+    assertTrue(machines >= 120, machines + " machines");
+    assertEquals(
+        240,
+        starts.stream().filter(task -> !task.startsWith("wk-100/")).count(),
+        "none was started twice");
+    assertEquals(0, state.malformed);
+    assertEquals("done", status("wk-100"));
+  }
+
+  /**
+   * A refusal for the rate makes a node keep to the later rate; the leader keeps its part of that.
+   */
+  @Test
+  void findsThatTheRateIsLower() throws InvalidField {
+    ObjectNode next = Samples.settingsJson();
+    next.withObject("/cluster/state/next").put("write_rps", 3);
+    process.dead = true;
+    process = new Process("n-0", false, next);
+    loop.pass(5);
+    int before = process.node.state().writable();
+    state.writeRps = 3;
+    for (int i = 0; i < 5; i++) {
+      process.node.handle(
+          new Request("POST", "/work", Json.bytes(job("wk-" + i, 1).toJson())), (c, t, b, r) -> {});
+    }
+    loop.pass(10);
+    assertTrue(
+        before > 100 && process.node.state().writable() <= 5,
+        before + ", " + process.node.state().writable());
+    loop.pass(60);
+    assertEquals("done", status("wk-0"));
+  }
+}
