--- /dev/null
+++ b/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
@@ -0,0 +1,130 @@
+package org.saffronshore.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.Callable;
+import org.saffronshore.config.Settings;
+import org.saffronshore.wire.Json;
+import picocli.CommandLine.Command;
+
+/**
+ * Runs a controller for a moment on loopback, against nothing, so that the build can archive the
+ * classes that a start needs.
+ */
+@Command(
+    name = "train-cds",
+    hidden = true,
+    description = "Runs for a moment, for the build to archive classes.")
+final class CdsTrainingCommand implements Callable<Integer> {
+  private static final long WHILE_MS = 1_500;
+
+  @Override
+  public Integer call() throws Exception {
+    int port = freePort();
+    int peerPort = freePort();
+    Settings settings;
+    try (InputStream in = CdsTrainingCommand.class.getResourceAsStream("cds-training.json")) {
+      String text =
+          new String(in.readAllBytes())
+              .replace("${port}", "" + port)
+              .replace("${peer}", "" + peerPort);
+      settings = Settings.parse(Json.parse(text.getBytes()));
+    }
+    ControllerCommand.run(settings);
+    loadAll();
+    var client = HttpClient.newHttpClient();
+    String[] bodies = {"{}", "{\"Uid\":\"wk-1\"}", "not json"};
+    long until = System.currentTimeMillis() + WHILE_MS;
+    while (System.currentTimeMillis() < until) {
+      for (String body : bodies) {
+        for (String path : new String[] {"/work", "/v1/report", "/work/wk-1/cancel"}) {
+          send(client, port, path, body);
+        }
+      }
+      send(client, port, "/healthz", null);
+      send(client, port, "/work/wk-1", null);
+      send(client, peerPort, "/metrics", null);
+      Thread.sleep(100);
+    }
+    return 0;
+  }
+
+  private static void send(HttpClient client, int port, String path, String body)
+      throws InterruptedException {
+    var request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
+    if (body != null) {
+      request.POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+    try {
+      client.send(request.build(), HttpResponse.BodyHandlers.discarding());
+    } catch (IOException e) {
+      // The controller is just starting; the next round asks again.
+    }
+  }
+
+  /** Classes that only a served controller would touch. */
+  private static void loadAll() {
+    for (String name :
+        new String[] {
+          "cluster.Cluster",
+          "cluster.Cluster$CommandBatch",
+          "cluster.CommandDispatcher",
+          "cluster.Views",
+          "cluster.JobTable",
+          "cluster.MachineTable",
+          "cluster.RunTimes",
+          "cluster.MachineRegistry",
+          "cluster.UnresponsiveMachineDetector",
+          "cluster.Machine",
+          "cluster.Job",
+          "cluster.Attempt",
+          "cluster.Attempt$State",
+          "control.Leader",
+          "control.Autoscaler",
+          "control.JobWatcher",
+          "control.TermStore",
+          "control.PagedRecords",
+          "control.PagedRecords$Batch",
+          "scheduling.FailedPlacements",
+          "fleet.Forecast",
+          "fleet.Forecast$Line",
+          "fleet.DisplacedTasks",
+          "scheduling.Cycle",
+          "scheduling.Plan",
+          "scheduling.Host",
+          "scheduling.PendingJob",
+          "scheduling.Team",
+          "scheduling.Resources",
+          "scheduling.HostedTask",
+          "fleet.RentalPlan",
+          "fleet.MachineKind",
+          "wire.Report",
+          "wire.Command",
+          "wire.TaskId",
+          "wire.MachineType",
+          "admin.OperatorSettings",
+          "state.Txn",
+          "state.OpenCheck",
+          "state.SubmissionQueue",
+          "leadership.StoreLease"
+        }) {
+      try {
+        Class.forName("org.saffronshore." + name);
+      } catch (ClassNotFoundException e) {
+        throw new IllegalStateException(
+            "class-data-sharing training names an unknown class: " + name, e);
+      }
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/saffronshore/control/InteractingFaultsTest.java
@@ -0,0 +1,193 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Scripts of faults that overlap, one for each that users named; see docs/interacting-faults.md.
+ */
+class InteractingFaultsTest extends RuleCheckingSimulation {
+  /**
+   * The state service refuses the leader alone, another controller confirms a cancellation, then
+   * the service is away for all for longer than a cancellation may take, and workers keep
+   * reporting. The cancelled tasks go; the others go on, since every controller says what it
+   * confirmed.
+   */
+  @ParameterizedTest
+  @CsvSource({"false, true", "true, false"})
+  void cancelledWhileTheLeaderIsRefusedAndThenAllAre(boolean peersOutOfReach, boolean othersGoOn) {
+    runS = 300;
+    UserView gone = submit(leader(), job(2));
+    UserView stays = submit(leader(), job(2));
+    pass(20);
+    assertEquals(4, onMachines(gone) + onMachines(stays));
+    Process leader = leader();
+    long term = leader.node.leadership().term();
+    leader.refused = true;
+    pass(0.5);
+    cancel(follower(), gone);
+    pass(0.3);
+    assertEquals("aborted", gone.end);
+    leader.withoutPeers = peersOutOfReach;
+    away(true, 0);
+    pass(CANCEL_S + 30);
+    assertEquals(0, onMachines(gone));
+    assertEquals(othersGoOn, leader.node.leadership().isActive());
+    assertEquals(othersGoOn ? 2 : 0, onMachines(stays));
+    leader.refused = false;
+    leader.withoutPeers = false;
+    away(false, CANCEL_S + 30);
+    pass(60);
+    assertEquals(2, onMachines(stays));
+    assertEquals(
+        term,
+        leader().node.leadership().term(),
+        "an outage that all share is no reason to make way");
+  }
+
+  /**
+   * Nobody leads for a while, and cancellations are confirmed meanwhile; a new leader has its key,
+   * but the service is away before it has read the jobs. It knows of no cancellation, however fresh
+   * its key is, and keeps nothing alive.
+   */
+  @Test
+  void aLeaderThatHasNotReadTheJobsKeepsNothingAlive() {
+    runS = 300;
+    UserView told = submit(leader(), job(2));
+    pass(20);
+    assertEquals(2, onMachines(told));
+    leader().dead = true;
+    // Nobody can lead: the key cannot be claimed.
+    state.away = (method, path) -> path.equals("/holds");
+    pass(3);
+    cancel(follower(), told);
+    pass(10);
+    assertEquals("aborted", told.end);
+    // The next one claims its key, and then the service is away but for its permits.
+    state.away = (method, path) -> method.equals("GET") && path.startsWith("/kv?");
+    pass(8);
+    assertNotNull(leader());
+    assertFalse(leader().node.leadership().isActive());
+    pass(CANCEL_S);
+    assertEquals(0, onMachines(told));
+    away(false, 0);
+    pass(30);
+    assertTrue(leader().node.leadership().isActive());
+  }
+
+  /**
+   * What happens when, in seconds from a moment at which three jobs run. Whatever it is, the rules
+   * hold, and once it is over every job ends.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "ends far apart            | 0 short, 6 kill leader, 9 back, 15 kill leader, 21 back, 30 kill leader, 31 back",
+        "held up commands          | 0 late, 0 submit, 1 hang 12, 3 cancel 2, 8 submit, 10 hang 9, 30 heal",
+        "meets the last task's end | 0 short, 2 cancel 1, 2.1 poll, 4 cancel 2, 5 submit, 6 cancel 3, 6 repeat, 9 repeat",
+        "old reports               | 0 copies, 0 short, 5 kill leader, 6 back, 20 hang 25, 30 submit, 40 kill leader, 45 back",
+        "all away                  | 0 cancel 1, 0.1 kill n-0, 0.1 kill n-1, 0.1 kill n-2, 25 back, 30 submit",
+        "zones lose machines       | 0 die a, 0.1 kill leader, 3 submit, 5 back, 10 die b, 12 kill leader, 14 back",
+        "nobody hears the next one | 0 deaf, 0 kill leader, 2 cancel 2, 9 submit, 15 back, 40 heal",
+        "cannot be asked           | 0 hang 30, 0.5 kill leader, 3 submit, 6 back, 8 cancel 1",
+        "a report is held back     | 0 copies, 2 cut leader, 2 submit, 14 heal, 20 kill leader, 24 back",
+        "refused, then all         | 0 refuse leader, 0.2 cancel 1, 1 outage, 61 heal",
+        "refused as it is told     | 0 cancel 1, 0 refuse leader, 0.1 cancel 2, 1 outage, 56 heal",
+        "slow, refused, then all   | 0 late, 2 refuse leader, 3 cancel 1, 6 outage, 9 poll, 50 heal",
+        "a team at its limit       | 0 hang 15, 0 submit, 0.1 kill leader, 2 cancel 1, 2.5 submit, 4 back, 9 cancel 2, 12 submit",
+        "reach nobody              | 0 mute, 3 submit, 8 kill leader, 14 back, 14 cancel 1, 50 heal",
+        "ten leaders               | 0 kill leader, 6 back, 12 kill leader, 18 back, 24 refuse leader, 36 heal, 40 outage, "
+            + "44 kill leader, 50 back, 52 cancel 1, 55 heal, 62 kill leader, 66 back, 74 cut leader, 86 heal, 92 kill leader",
+        "only its workers, users   | 0 cut leader, 0.5 poll, 9 cancel 1, 12 poll, 30 submit, 60 heal",
+        "a zone apart              | 0 apart a, 5 submit, 10 cancel 1, 30 poll, 45 heal",
+        "late writes               | 0 writes, 0 short, 3 submit, 5 kill leader, 7 cancel 1, 9 back, 12 submit, 30 kill leader, 36 back",
+        "over and back             | 0 kill leader, 0.3 back, 0.5 kill leader, 0.8 back, 1.1 kill n-0, 1.1 kill n-1, "
+            + "1.1 kill n-2, 1.4 back, 2 cancel 1"
+      })
+  void twoTroublesMeet(String name, String script) {
+    runS = 50;
+    submit(leader(), job(2));
+    submit(leader(), job(3));
+    submit(leader(), inOneZone(job(2)));
+    pass(1);
+    // A chain behind them: one needs what is to run long, the next one that, and the last both.
+    submit(leader(), job(1).after(List.of("wk-1")));
+    pass(1);
+    submit(leader(), job(2).after(List.of("wk-4")));
+    pass(1);
+    submit(leader(), job(1).after(List.of("wk-5", "wk-2")));
+    pass(12);
+    assertTrue(jobs.values().stream().mapToLong(this::onMachines).sum() >= 4);
+    double began = loop.now();
+    for (String step : script.split(", *")) {
+      String[] words = step.trim().split(" ", 2);
+      pass(Math.max(0, began + Double.parseDouble(words[0]) - loop.now()));
+      happens(words[1]);
+    }
+    pass(2);
+    happens("heal");
+    everyJobEnds();
+  }
+
+  private void happens(String what) {
+    String[] words = what.split(" ");
+    Process one =
+        words.length < 2 ? null : words[1].equals("leader") ? leader() : processes.get(words[1]);
+    int number =
+        words.length > 1 && Character.isDigit(words[1].charAt(0)) ? Integer.parseInt(words[1]) : 0;
+    switch (words[0]) {
+      case "short" -> runS = 5;
+      case "late" -> lateCommands = 0.5;
+      case "writes" -> lateWrites = 0.5;
+      case "copies" -> lateReports = 0.8;
+      case "kill" -> {
+        if (one != null) {
+          one.dead = true;
+        }
+      }
+      case "back" ->
+          processes.values().stream()
+              .filter(p -> p.dead)
+              .map(p -> p.name)
+              .toList()
+              .forEach(this::life);
+      case "refuse" -> one.refused = true;
+      case "cut" -> {
+        one.refused = true;
+        one.withoutPeers = true;
+      }
+      case "outage" -> {
+        away(true, 0);
+        outageSince = loop.now();
+      }
+      case "hang" ->
+          workers.values().stream().limit(2).forEach(w -> w.hangsUntil = loop.now() + number);
+      case "deaf" -> workers.values().forEach(w -> w.unresponsive = true);
+      case "mute" -> workers.values().forEach(w -> w.mute = true);
+      case "die" ->
+          workers.values().stream()
+              .filter(w -> w.report.get("Depot").asText().equals(words[1]))
+              .findFirst()
+              .ifPresent(this::dies);
+      case "apart" -> {
+        zoneApart = words[1];
+        inZoneApart = leader();
+        inZoneApart.refused = true;
+        inZoneApart.withoutPeers = true;
+      }
+      case "submit" -> submit(anyNode(), job(2));
+      case "repeat" -> List.copyOf(jobs.values()).forEach(t -> submit(anyNode(), t.job));
+      case "poll" -> jobs.values().forEach(t -> poll(anyNode(), t));
+      case "cancel" -> cancel(follower(), jobs.get("wk-" + number));
+      default -> heal();
+    }
+  }
+}
