--- a/src/main/java/org/saffronshore/admin/AdminApi.java
+++ b/src/main/java/org/saffronshore/admin/AdminApi.java
@@ -79,16 +79,12 @@
         Keys.OPERATOR,
         false,
         answer -> {
-          JsonNode body = answer.json();
-          if (answer.status() == 404) {
+          if (answer.missing()) {
             reply.json(200, versioned(OperatorSettings.START.toJson(), 0));
-          } else if (answer.ok() && body != null) {
+          } else if (answer.found()) {
             try {
-              reply.json(
-                  200,
-                  versioned(
-                      OperatorSettings.parse(body.get("Data"), teams).toJson(),
-                      Json.count(body, "Stamp", 0)));
+              OperatorSettings stored = OperatorSettings.parse(answer.value(), teams);
+              reply.json(200, versioned(stored.toJson(), answer.version()));
             } catch (InvalidField e) {
               reply.error(500, "stored settings: " + e.getMessage());
             }
@@ -119,10 +115,9 @@
         new Txn().guard(Keys.OPERATOR, version).set(Keys.OPERATOR, settings.toJson()),
         false,
         answer -> {
-          JsonNode done = answer.json();
-          if (answer.ok() && done != null) {
-            reply.json(200, versioned(settings.toJson(), Json.count(done, "Ledger", 0)));
-          } else if (answer.status() == 409) {
+          if (answer.committed()) {
+            reply.json(200, versioned(settings.toJson(), answer.revision()));
+          } else if (answer.refused()) {
             reply.error(409, "the settings have another version by now: read them again");
           } else {
             reply.later(503, "the state service does not answer", 1);
--- a/src/main/java/org/saffronshore/cloud/CloudClient.java
+++ b/src/main/java/org/saffronshore/cloud/CloudClient.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Collection;
+import java.util.Optional;
+import java.util.function.Consumer;
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.MachineKind;
 import org.saffronshore.http.Answer;
@@ -50,17 +52,13 @@
   }
 
   /** Lists machines whose names come after one. */
-  public void list(String after, Answer.Receiver then) {
-    send(
-        "GET",
-        "/hosts?" + (after.isEmpty() ? "" : "After=" + after + "&") + "Most=" + PAGE,
-        null,
-        false,
-        then);
+  public void list(String after, Consumer<Optional<MachinePage>> then) {
+    String path = "/hosts?" + (after.isEmpty() ? "" : "After=" + after + "&") + "Most=" + PAGE;
+    send("GET", path, null, false, answer -> then.accept(MachinePage.of(answer)));
   }
 
   /** Rents machines. The name makes a repeat harmless, and must never be used for anything else. */
-  public void rent(String name, MachineKind kind, int count, Answer.Receiver then) {
+  public void rent(String name, MachineKind kind, int count, Consumer<RentalResult> then) {
     ObjectNode body =
         Json.object()
             .put("Hire", name)
@@ -68,14 +66,14 @@
             .put("Depot", kind.zone())
             .put("Loaner", kind.spot())
             .put("Count", count);
-    send("POST", "/hosts", body, true, then);
+    send("POST", "/hosts", body, true, answer -> then.accept(RentalResult.of(answer)));
   }
 
   /** Returns machines; on success they and everything on them are gone. */
-  public void returnMachines(Collection<String> machines, Answer.Receiver then) {
+  public void returnMachines(Collection<String> machines, Consumer<Boolean> then) {
     ObjectNode body = Json.object();
     ArrayNode names = body.putArray("Cadres");
     machines.forEach(names::add);
-    send("POST", "/hosts/return", body, true, then);
+    send("POST", "/hosts/return", body, true, answer -> then.accept(answer.ok()));
   }
 }
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -104,7 +104,7 @@
     return registry;
   }
 
-  /** Which machines hear nothing of what they are told. */
+  /** Machines whose reports arrive and that receive nothing. */
   public UnresponsiveMachineDetector unresponsiveMachines() {
     return unresponsiveMachines;
   }
--- a/src/main/java/org/saffronshore/cluster/Job.java
+++ b/src/main/java/org/saffronshore/cluster/Job.java
@@ -45,8 +45,8 @@
 
   /**
    * Attempts beside the placed one at the same task. After a change of leader a machine that is not
-   * settled may show what is not there any more, so a task may seem to be in two places; it may run
-   * in either.
+   * confirmed may show what is not there any more, so a task may seem to be in two places; it may
+   * run in either.
    */
   final List<Attempt> others = new ArrayList<>(0);
 
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -75,7 +75,7 @@
 
   boolean registered;
 
-  /** Its place in the roster says, or is to say, what it holds: it gets nothing new. */
+  /** The registry says, or is to say, what it holds: it gets nothing new. */
   boolean frozen;
 
   /** All that an earlier leader can have left on it, or null when that may be anything. */
--- a/src/main/java/org/saffronshore/cluster/Reports.java
+++ b/src/main/java/org/saffronshore/cluster/Reports.java
@@ -258,7 +258,7 @@
   }
 
   /**
-   * Stops what is in two places. As long as one of the machines is not settled, what it shows may
+   * Stops what is in two places. As long as one of the machines is not confirmed, what it shows may
    * be over: a late copy of an old report must not end what truly runs.
    */
   private void stopDuplicates(Machine m) {
--- a/src/main/java/org/saffronshore/cluster/UnresponsiveMachineDetector.java
+++ b/src/main/java/org/saffronshore/cluster/UnresponsiveMachineDetector.java
@@ -54,13 +54,16 @@
     }
   }
 
-  /** For how long a machine has had the chance to hear us: none while we stood still. */
+  /**
+   * For how long a machine has had the chance to receive commands: none while this node stood
+   * still.
+   */
   private double since(double moment) {
     return loop.now() - Math.max(moment, cluster.awakeSince());
   }
 
   void markUnresponsive(Machine m) {
-    LOG.debug("machine {} does not seem to hear us", m.id);
+    LOG.debug("machine {} does not seem to receive commands", m.id);
     m.unresponsive = true;
     m.unresponsiveSince = loop.now();
     m.changed();
--- a/src/main/java/org/saffronshore/control/Autoscaler.java
+++ b/src/main/java/org/saffronshore/control/Autoscaler.java
@@ -1,8 +1,6 @@
 package org.saffronshore.control;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -11,11 +9,11 @@
 import java.util.Set;
 import org.saffronshore.admin.Metrics;
 import org.saffronshore.cloud.CloudClient;
+import org.saffronshore.cloud.RentalResult;
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.cluster.Job;
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.config.Settings;
-import org.saffronshore.fleet.Arrivals;
 import org.saffronshore.fleet.DisplacedTasks;
 import org.saffronshore.fleet.Forecast;
 import org.saffronshore.fleet.MachineKind;
@@ -24,7 +22,6 @@
 import org.saffronshore.scheduling.Plan;
 import org.saffronshore.scheduling.Resources;
 import org.saffronshore.wire.JobSpec;
-import org.saffronshore.wire.Json;
 import org.saffronshore.wire.MachineType;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,20 +30,9 @@
 final class Autoscaler {
   private static final Logger LOG = LoggerFactory.getLogger(Autoscaler.class);
 
-  /**
-   * Boots later than this, as a multiple of the usual time, are not counted on, and later than that
-   * given up.
-   */
+  /** Boots later than this, as a multiple of the usual time, are not counted on. */
   private static final double LATE_BOOT = 1.6;
 
-  private static final double LOST_BOOT = 3;
-
-  /** An idle machine is kept for this share of the time that a new one takes to boot. */
-  private static final double IDLE_KEPT = 0.25;
-
-  /** Room for this many typical jobs of each class is kept although it is idle. */
-  private static final double SPARE_JOBS = 1;
-
   /**
    * Tasks whose wait users mind should wait for this share of the time that a boot takes at the
    * most.
@@ -78,10 +64,10 @@
   private final long term;
   private final MachineListPoller machineList;
   private final Consolidation consolidation;
+  private final MachineReturner returner;
   private final Map<String, Order> orders = new LinkedHashMap<>();
   private final Map<MachineKind, Refusal> refusals = new HashMap<>();
-  private final Set<String> returning = new HashSet<>();
-  private List<Plan.Unmet> unplaced = List.of();
+  private List<Plan.UnplacedTasks> unplaced = List.of();
   private double rentAgainAt = Double.NEGATIVE_INFINITY;
   private long lastName;
 
@@ -95,6 +81,7 @@
     this.term = term;
     this.machineList = new MachineListPoller(node, leader, cluster);
     this.consolidation = new Consolidation(node, cluster);
+    this.returner = new MachineReturner(node, leader, cluster, refusals::remove);
   }
 
   void start() {
@@ -104,7 +91,7 @@
   }
 
   /** What the last cycle found no place for. */
-  void wanted(List<Plan.Unmet> nowUnmet) {
+  void wanted(List<Plan.UnplacedTasks> nowUnmet) {
     unplaced = nowUnmet;
     rent();
   }
@@ -113,7 +100,7 @@
     if (!leader.loaded()) {
       return;
     }
-    returnMachines();
+    returner.run();
     rent();
     if (unplaced.isEmpty()) {
       consolidation.run();
@@ -145,7 +132,7 @@
       }
     }
     orders.values().forEach(o -> perZone.merge(o.kind.zone(), o.count, Integer::sum));
-    List<Plan.Unmet> late =
+    List<Plan.UnplacedTasks> late =
         Forecast.late(lines(true), unplaced, cluster::lastsS, job -> now + boot(job));
     RentalPlan.orders(cluster.types(), late, perZone, kind -> available(kind, now))
         .forEach(this::order);
@@ -172,7 +159,7 @@
    * on.
    */
   private void rentForDisplacedTasks(
-      List<Plan.Unmet> late, Map<String, Integer> perZone, double now) {
+      List<Plan.UnplacedTasks> late, Map<String, Integer> perZone, double now) {
     Set<String> scarce = new HashSet<>();
     double dearest = 0;
     for (MachineType type : cluster.types().values()) {
@@ -189,7 +176,7 @@
       return;
     }
     double limit = dearest;
-    List<Plan.Unmet> displaced =
+    List<Plan.UnplacedTasks> displaced =
         DisplacedTasks.find(cluster.types(), scarce, late, cluster.views().runningOn(scarce));
     if (displaced.isEmpty()) {
       return;
@@ -198,7 +185,7 @@
     // that.
     List<Forecast.Line> others =
         lines(false).stream().filter(l -> !scarce.contains(l.kind().type())).toList();
-    List<Plan.Unmet> homeless =
+    List<Plan.UnplacedTasks> homeless =
         Forecast.late(others, displaced, cluster::lastsS, job -> now + boot(job));
     RentalPlan.orders(
             cluster.types(),
@@ -229,9 +216,9 @@
    * the waits are worth.
    */
   private void rentForExpectedArrivals(Map<String, Integer> perZone, double now) {
-    List<Plan.Unmet> queue = new ArrayList<>(unplaced);
+    List<Plan.UnplacedTasks> queue = new ArrayList<>(unplaced);
     queue.addAll(cluster.arrivals().within(boot(), now));
-    List<Plan.Unmet> late =
+    List<Plan.UnplacedTasks> late =
         Forecast.late(
             lines(true),
             queue,
@@ -240,7 +227,7 @@
     RentalPlan.orders(cluster.types(), late, perZone, kind -> kind.spot() && available(kind, now))
         .forEach(this::order);
     if (queueStands()) {
-      List<Plan.Unmet> beyond =
+      List<Plan.UnplacedTasks> beyond =
           Forecast.late(lines(true), queue, cluster::lastsS, job -> now + boot(job));
       RentalPlan.orders(cluster.types(), beyond, perZone, kind -> available(kind, now))
           .forEach(this::order);
@@ -310,41 +297,36 @@
   }
 
   private void ask(Order order) {
-    cloud.rent(
-        order.name,
-        order.kind,
-        order.count,
-        answer -> {
-          JsonNode body = answer.json();
-          if (answer.ok() && body != null) {
-            orders.remove(order.name);
-            rented(order, body.path("Cadres"));
-          } else if (answer.status() == 503
-              && body != null
-              && "no capacity".equals(Json.text(body, "error"))) {
-            orders.remove(order.name);
-            LOG.info("the cloud has no {}", order.kind);
-            refused(order.kind);
-          } else if (answer.status() == 400) {
-            orders.remove(order.name);
-            LOG.error("the cloud calls the order of {} {} malformed", order.count, order.kind);
-            refused(order.kind);
-          } else if (leader.isActive()) {
-            // It may have been carried out: only the same name again tells, and rents nothing
-            // twice.
-            loop.after(settings.reportS() / 3, () -> ask(order));
-          } else {
-            orders.remove(order.name);
-          }
-        });
+    cloud.rent(order.name, order.kind, order.count, result -> answered(order, result));
+  }
+
+  private void answered(Order order, RentalResult result) {
+    boolean unknown = result.outcome() == RentalResult.Outcome.UNKNOWN;
+    if (unknown && leader.isActive()) {
+      // It may have been carried out: only the same name again tells, and rents nothing twice.
+      loop.after(settings.reportS() / 3, () -> ask(order));
+      return;
+    }
+    orders.remove(order.name);
+    switch (result.outcome()) {
+      case RENTED -> rented(order, result.machines());
+      case NO_CAPACITY -> {
+        LOG.info("the cloud has no {}", order.kind);
+        refused(order.kind);
+      }
+      case MALFORMED -> {
+        LOG.error("the cloud calls the order of {} {} malformed", order.count, order.kind);
+        refused(order.kind);
+      }
+      default -> LOG.debug("order {} is left to the next leader", order.name);
+    }
   }
 
-  private void rented(Order order, JsonNode names) {
+  private void rented(Order order, List<String> names) {
     LOG.debug("rented {} of {} {}: tasks wait for room", names.size(), order.count, order.kind);
     metrics.add(Metrics.Count.RENTED, names.size());
-    for (JsonNode name : names) {
-      cluster.rented(
-          name.asText(), order.kind.type(), order.kind.zone(), order.kind.spot(), order.askedAt);
+    for (String name : names) {
+      cluster.rented(name, order.kind.type(), order.kind.zone(), order.kind.spot(), order.askedAt);
     }
     if (names.size() < order.count) {
       refused(order.kind);
@@ -360,130 +342,4 @@
     r.pause = Math.min(boot, Math.max(boot / 8, r.pause * 2));
     r.until = loop.now() + r.pause;
   }
-
-  // Returning
-
-  /** Why a machine is to be returned, or null when it is kept. */
-  private String reason(Machine m, double now, Spare spare) {
-    MachineType type = m.type() == null ? null : cluster.types().get(m.type());
-    double boot = type == null ? settings.leaseS() : type.bootS();
-    if (m.failed()) {
-      return "it has failed";
-    }
-    if (!m.everUp()) {
-      boolean lost = now > m.rentedAt() + LOST_BOOT * boot;
-      return lost && m.empty() && !cluster.isUnconfirmed(m) ? "it never came up" : null;
-    }
-    if (!m.up()) {
-      return "it is lost";
-    }
-    if (cluster.unresponsiveMachines().isUnusable(m)) {
-      return "it does not respond to commands";
-    }
-    return m.empty() && m.confirmed() ? reasonWhenEmpty(m, now, boot, spare) : null;
-  }
-
-  private String reasonWhenEmpty(Machine m, double now, double boot, Spare spare) {
-    if (m.draining()) {
-      return "its tasks went elsewhere";
-    }
-    if (m.distrusted()) {
-      return "it fails its tasks";
-    }
-    if (m.noticed()) {
-      return "it is to be taken back, and is empty";
-    }
-    boolean idle =
-        now > m.idleSince() + IDLE_KEPT * boot && now > m.rentedAt() + Consolidation.MIN_CHARGED_S;
-    return idle && !spare.needs(m) ? "it is idle" : null;
-  }
-
-  /**
-   * Room that is kept although it is idle: a typical job of each class that still comes should find
-   * some.
-   */
-  private final class Spare {
-    private final Map<Machine, Resources> rooms = new HashMap<>();
-    private final Map<Arrivals.Expected, Double> fitting = new LinkedHashMap<>();
-
-    Spare(double now) {
-      double boot =
-          cluster.types().values().stream()
-              .mapToDouble(MachineType::bootS)
-              .max()
-              .orElse(settings.leaseS());
-      cluster.arrivals().expected(now, boot / 2).forEach(e -> fitting.put(e, 0.0));
-      for (Machine m : cluster.machines()) {
-        Resources room = returning.contains(m.id()) ? null : cluster.views().freeOn(m);
-        if (room != null) {
-          rooms.put(m, room);
-          fitting.replaceAll((e, sum) -> sum + on(m, e));
-        }
-      }
-    }
-
-    private double on(Machine m, Arrivals.Expected e) {
-      Resources room = rooms.get(m);
-      return room == null || !m.kind().allows(e.task()) ? 0 : Arrivals.fitting(room, e.task());
-    }
-
-    /** Whether a typical job of some class would find no room without this machine. */
-    boolean needs(Machine m) {
-      return fitting.entrySet().stream()
-          .anyMatch(
-              f ->
-                  on(m, f.getKey()) > 0
-                      && f.getValue() - on(m, f.getKey()) < f.getKey().tasks() * SPARE_JOBS);
-    }
-
-    void without(Machine m) {
-      fitting.replaceAll((e, sum) -> sum - on(m, e));
-      rooms.remove(m);
-    }
-  }
-
-  private void returnMachines() {
-    double now = loop.now();
-    List<String> names = new ArrayList<>();
-    List<Machine> dearFirst = new ArrayList<>(cluster.machines());
-    dearFirst.sort(Comparator.comparing(Machine::spot));
-    Spare spare = new Spare(now);
-    for (Machine m : dearFirst) {
-      String why = returning.contains(m.id()) ? null : reason(m, now, spare);
-      if (why != null && names.size() < CloudClient.MAX_RETURNED) {
-        LOG.debug("returning machine {}: {}", m.id(), why);
-        cluster.returning(m);
-        returning.add(m.id());
-        names.add(m.id());
-        spare.without(m);
-      }
-    }
-    if (!names.isEmpty()) {
-      returned(names);
-    }
-  }
-
-  private void returned(List<String> names) {
-    cloud.returnMachines(
-        names,
-        answer -> {
-          if (answer.ok()) {
-            returning.removeAll(names);
-            metrics.add(Metrics.Count.RETURNED, names.size());
-            for (String name : names) {
-              Machine m = cluster.machine(name);
-              if (m != null) {
-                // What was given back can be had again.
-                refusals.remove(m.kind());
-                cluster.removed(m, "returned");
-              }
-            }
-          } else if (leader.isActive()) {
-            // A successor may have given them work since: it decides whether they are to go.
-            loop.after(settings.reportS() / 3, () -> returned(names));
-          } else {
-            returning.removeAll(names);
-          }
-        });
-  }
 }
--- a/src/main/java/org/saffronshore/control/JobWatcher.java
+++ b/src/main/java/org/saffronshore/control/JobWatcher.java
@@ -4,12 +4,14 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.cluster.Job;
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Loop;
+import org.saffronshore.state.Changes;
 import org.saffronshore.state.Keys;
 import org.saffronshore.state.StateClient;
 import org.saffronshore.wire.InvalidField;
@@ -84,12 +86,11 @@
           if (leader.ended()) {
             return;
           }
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (body != null && body.path("Events").isArray()) {
-            changes(body.get("Events"));
+          if (answer.received()) {
+            apply(answer.changes());
             leader.cancellationsRead(askedAt);
-            watch(Json.count(body, "Ledger", from));
-          } else if (answer.status() == 410) {
+            watch(answer.revision());
+          } else if (answer.outcome() == Changes.Outcome.TOO_OLD) {
             relist();
           } else {
             loop.after(settings.reportS() / 10, () -> watch(from));
@@ -97,16 +98,15 @@
         });
   }
 
-  private void changes(JsonNode events) {
-    for (JsonNode e : events) {
-      String set = Json.text(e, "Set");
-      if (set != null) {
-        addNew(set, e.path("Data"), Json.count(e, "Stamp", 0));
-      } else if (Json.text(e, "Remove") != null) {
-        leader.remove(Keys.idOf(Json.text(e, "Remove")));
+  private void apply(List<Changes.Change> changes) {
+    for (Changes.Change change : changes) {
+      if (change.value() != null) {
+        addNew(change.key(), change.value(), change.version());
+      } else {
+        leader.remove(Keys.idOf(change.key()));
       }
     }
-    if (!events.isEmpty()) {
+    if (!changes.isEmpty()) {
       leader.runDueWork();
     }
   }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -1,6 +1,5 @@
 package org.saffronshore.control;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.BitSet;
 import java.util.List;
@@ -15,6 +14,7 @@
 import org.saffronshore.http.Client;
 import org.saffronshore.http.Loop;
 import org.saffronshore.leadership.Leadership;
+import org.saffronshore.peer.Progress;
 import org.saffronshore.scheduling.Cycle;
 import org.saffronshore.scheduling.Plan;
 import org.saffronshore.state.Keys;
@@ -266,11 +266,10 @@
         Keys.OPERATOR,
         true,
         answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
           try {
-            if (body != null) {
-              operator = OperatorSettings.parse(body.get("Data"), settings.teams().keySet());
-            } else if (answer.status() == 404) {
+            if (answer.found()) {
+              operator = OperatorSettings.parse(answer.value(), settings.teams().keySet());
+            } else if (answer.missing()) {
               operator = OperatorSettings.START;
             }
           } catch (InvalidField e) {
@@ -328,7 +327,7 @@
       return;
     }
     if (!leadership.holdsStoreLease()) {
-      // After an outage the permit is renewed before the jobs can have been read: that takes a
+      // After an outage the lease is renewed before the jobs can have been read: that takes a
       // moment.
       noStoreLeaseAt = loop.now();
     }
@@ -359,10 +358,10 @@
   }
 
   /**
-   * Whether the permit is over while the state service serves others. The peers' time is for an
-   * outage that all share; to go on with it here would only keep a successor waiting. Just after an
-   * outage some are served a moment before the leader is, so this must last for several of its
-   * tries.
+   * Whether the store lease is over while the state service serves others. The leases of peers are
+   * for an outage that all share; to go on with it here would only keep a successor waiting. Just
+   * after an outage some are served a moment before the leader is, so this must last for several of
+   * its tries.
    */
   private boolean refusedAlone() {
     double now = loop.now();
--- a/src/main/java/org/saffronshore/control/MachineListPoller.java
+++ b/src/main/java/org/saffronshore/control/MachineListPoller.java
@@ -1,12 +1,11 @@
 package org.saffronshore.control;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashSet;
 import java.util.Set;
 import org.saffronshore.cloud.CloudClient;
+import org.saffronshore.cloud.MachinePage;
 import org.saffronshore.cluster.Cluster;
 import org.saffronshore.http.Loop;
-import org.saffronshore.wire.Json;
 
 /** Keeps one term's cluster in line with the cloud's list of machines. */
 final class MachineListPoller {
@@ -39,26 +38,18 @@
   private void page(String after, Set<String> ids, double requestedAt) {
     cloud.list(
         after,
-        answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (!leader.holdsLease() || body == null || !body.path("Cadres").isArray()) {
+        page -> {
+          if (!leader.holdsLease() || page.isEmpty()) {
             busy = false;
             return;
           }
           String last = after;
-          for (JsonNode c : body.get("Cadres")) {
-            last = Json.text(c, "Uid");
+          for (MachinePage.ListedMachine m : page.get().machines()) {
+            last = m.id();
             ids.add(last);
-            cluster.listed(
-                last,
-                Json.text(c, "Address"),
-                Json.text(c, "Rig"),
-                Json.text(c, "Depot"),
-                Json.flag(c, "Loaner"),
-                "failed".equals(Json.text(c, "Status")),
-                Json.number(c, "HeldS", 0));
+            cluster.listed(last, m.address(), m.type(), m.zone(), m.spot(), m.failed(), m.heldS());
           }
-          if (Json.flag(body, "Truncated") && !last.equals(after)) {
+          if (!page.get().last() && !last.equals(after)) {
             page(last, ids, requestedAt);
             return;
           }
--- a/src/main/java/org/saffronshore/control/MachineTypeCache.java
+++ b/src/main/java/org/saffronshore/control/MachineTypeCache.java
@@ -58,9 +58,8 @@
         Keys.TYPES,
         true,
         answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (body != null) {
-            kept = parsed(body.path("Data"));
+          if (answer.found()) {
+            kept = parsed(answer.value());
             if (types.isEmpty()) {
               learned(kept);
             }
@@ -114,7 +113,7 @@
         new Txn().guard(Keys.LEADER, leadership.keyVersion()).set(Keys.TYPES, told),
         false,
         answer -> {
-          if (answer.ok()) {
+          if (answer.committed()) {
             kept = keeping;
           }
         });
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -17,6 +17,7 @@
 import org.saffronshore.http.Request;
 import org.saffronshore.http.Sockets;
 import org.saffronshore.leadership.Leadership;
+import org.saffronshore.peer.Progress;
 import org.saffronshore.state.JobStore;
 import org.saffronshore.state.Keys;
 import org.saffronshore.state.StateClient;
--- a/src/main/java/org/saffronshore/control/PagedRecords.java
+++ b/src/main/java/org/saffronshore/control/PagedRecords.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
-import org.saffronshore.http.Answer;
+import org.saffronshore.state.CommitResult;
 import org.saffronshore.state.StateClient;
 import org.saffronshore.state.Txn;
 import org.saffronshore.wire.Json;
@@ -236,21 +236,15 @@
      * it is repeated, and should the first have come through, the guard of the repeat fails and
      * tells so.
      */
-    boolean written(StateClient state, Answer answer) {
-      JsonNode body = answer.json();
-      if (answer.ok() && body != null) {
-        long version = Json.count(body, "Ledger", 0);
-        pages.forEach(page -> page.version = version);
+    boolean written(StateClient state, CommitResult result) {
+      if (result.committed()) {
+        pages.forEach(page -> page.version = result.revision());
         PagedRecords.this.pages.values().forEach(page -> page.copiedTo.removeAll(pages));
         return true;
       }
-      Set<String> refused = new HashSet<>();
-      if (answer.status() == 409 && body != null) {
-        body.path("failed").forEach(key -> refused.add(key.asText()));
-      }
       for (Page page : pages) {
         page.dirty = true;
-        if (refused.contains(page.key)) {
+        if (result.failedKeys().contains(page.key)) {
           ask(state, page);
         }
       }
@@ -264,10 +258,8 @@
           true,
           answer -> {
             page.asking = false;
-            if (answer.ok() && answer.json() != null) {
-              page.version = Json.count(answer.json(), "Stamp", page.version);
-            } else if (answer.status() == 404) {
-              page.version = 0;
+            if (!answer.unknown()) {
+              page.version = answer.version();
             }
           });
     }
--- a/src/main/java/org/saffronshore/control/PeerLink.java
+++ b/src/main/java/org/saffronshore/control/PeerLink.java
@@ -1,8 +1,5 @@
 package org.saffronshore.control;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,20 +9,28 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.saffronshore.cluster.Job;
 import org.saffronshore.config.Settings;
 import org.saffronshore.config.Settings.Peer;
+import org.saffronshore.http.Answer;
 import org.saffronshore.http.Client;
 import org.saffronshore.http.Loop;
 import org.saffronshore.http.Reply;
 import org.saffronshore.http.Request;
 import org.saffronshore.leadership.PeerVoting;
-import org.saffronshore.wire.Json;
+import org.saffronshore.peer.PeerAnswer;
+import org.saffronshore.peer.PeerMessage;
+import org.saffronshore.peer.Progress;
+import org.saffronshore.wire.InvalidField;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * What the controllers tell one another, in CBOR: whether the state service serves them, and jobs'
- * progress.
+ * The messages between controllers: heartbeats with jobs' progress and what is known of
+ * cancellations, votes, withdrawals, and workers' reports that are relayed to the leader.
  */
 final class PeerLink implements PeerVoting {
+  private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
   static final String CBOR = "application/cbor";
   private static final String HEARTBEAT = "/peer/hello";
   private static final String VOTE = "/peer/vote";
@@ -79,7 +84,7 @@
   }
 
   private void sendHeartbeat() {
-    byte[] body = Json.cbor(heartbeat());
+    byte[] body = heartbeat().toCbor();
     double askedAt = loop.now();
     long term = node.leadership().term();
     for (Peer peer : settings.peers()) {
@@ -90,77 +95,73 @@
           body,
           periodS * 2,
           answer -> {
-            JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
-            if (back != null) {
-              peerAnswered(peer);
-              receivedHeartbeat(back);
-              if (Json.flag(back, "granted") && term == node.leadership().term()) {
-                node.leadership().recordGrant(peer.node(), askedAt);
-              }
-              if (back.path("cancelled").isArray()) {
-                List<String> jobs = new ArrayList<>();
-                back.get("cancelled").forEach(id -> jobs.add(id.asText()));
-                double coveredS = Settings.shortestLocalTime(Json.number(back, "cancelled_s", 0));
-                node.cancellationsTold(term, peer.node(), askedAt, loop.now() - coveredS, jobs);
-              }
+            PeerAnswer parsed = answer.ok() ? parsed(peer, answer) : null;
+            if (parsed != null) {
+              heartbeatAnswered(peer, parsed, askedAt, term);
             }
           });
     }
   }
 
+  /** The answer of a peer, or null when it cannot be read, which counts as none. */
+  private static PeerAnswer parsed(Peer peer, Answer answer) {
+    try {
+      return PeerAnswer.parse(answer.body());
+    } catch (InvalidField e) {
+      LOG.warn("an answer of {} cannot be read: {}", peer.node(), e.getMessage());
+      return null;
+    }
+  }
+
+  private void heartbeatAnswered(Peer peer, PeerAnswer answer, double askedAt, long term) {
+    peerAnswered(peer);
+    received(answer.sender());
+    if (answer.granted() && term == node.leadership().term()) {
+      node.leadership().recordGrant(peer.node(), askedAt);
+    }
+    PeerAnswer.Cancellations told = answer.cancellations();
+    if (told != null) {
+      double coveredSince = loop.now() - Settings.shortestLocalTime(told.coversS());
+      node.cancellationsTold(term, peer.node(), askedAt, coveredSince, told.jobs());
+    }
+  }
+
   private void peerAnswered(Peer peer) {
     answeredAt = loop.now();
     reachedAt.put(peer.node(), answeredAt);
   }
 
   /**
-   * Whether an answer of this peer is to be waited for: not when it has left several greetings
+   * Whether an answer of this peer is to be waited for: not when it has left several heartbeats
    * unanswered.
    */
   private boolean expected(Peer peer) {
     return loop.now() < reachedAt.getOrDefault(peer.node(), Double.POSITIVE_INFINITY) + 3 * periodS;
   }
 
-  private ObjectNode heartbeat() {
-    ObjectNode o = self();
+  private PeerMessage heartbeat() {
     Leader leader = node.activeLeader();
-    if (leader != null) {
-      o.put("term", leader.cluster().term());
-      ObjectNode jobs = o.putObject("jobs");
-      leader
-          .cluster()
-          .jobs()
-          .forEach(
-              job -> {
-                int running = job.running();
-                int done = job.doneTasks().cardinality();
-                if (running + done > 0) {
-                  jobs.putArray(job.spec().id()).add(done).add(running);
-                }
-              });
+    if (leader == null) {
+      return message(PeerMessage.NO_TERM, null);
     }
-    return o;
+    Map<String, Progress> jobs = new LinkedHashMap<>();
+    for (Job job : leader.cluster().jobs()) {
+      Progress now = new Progress(job.doneTasks().cardinality(), job.running());
+      if (now.running() + now.done() > 0) {
+        jobs.put(job.spec().id(), now);
+      }
+    }
+    return message(leader.cluster().term(), jobs);
   }
 
-  private void receivedHeartbeat(JsonNode sendHeartbeat) {
-    String from = Json.text(sendHeartbeat, "node");
-    double ageS = Json.number(sendHeartbeat, "served_s", Double.POSITIVE_INFINITY);
-    if (from != null) {
-      servedAt.merge(from, loop.now() - ageS, Math::max);
+  /** Takes what every message and answer says of its sender, and of jobs. */
+  private void received(PeerMessage message) {
+    if (message.node() != null) {
+      servedAt.merge(message.node(), loop.now() - message.servedAgoS(), Math::max);
     }
-    long term = Json.count(sendHeartbeat, "term", -1);
-    if (term >= progressTerm && sendHeartbeat.path("jobs").isObject()) {
-      progressTerm = term;
-      Map<String, Progress> all = new HashMap<>();
-      sendHeartbeat
-          .get("jobs")
-          .properties()
-          .forEach(
-              e ->
-                  all.put(
-                      e.getKey(),
-                      new Progress(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
-      progress = all;
+    if (message.progress() != null && message.term() >= progressTerm) {
+      progressTerm = message.term();
+      progress = message.progress();
     }
   }
 
@@ -206,27 +207,29 @@
     }
   }
 
-  private ObjectNode self() {
-    return Json.object()
-        .put("node", settings.node())
-        .put("life", node.leadership().incarnation())
-        .put("n", ++sent)
-        .put("served", node.served())
-        .put("served_s", Math.min(1e9, loop.now() - node.state().answeredAt()));
+  private PeerMessage message(long term, Map<String, Progress> jobs) {
+    return new PeerMessage(
+        settings.node(),
+        node.leadership().incarnation(),
+        ++sent,
+        node.served(),
+        loop.now() - node.state().answeredAt(),
+        term,
+        jobs);
   }
 
   /**
-   * Whether a message is a copy, or was overtaken by a later one of the same process. Were a
-   * candidate's "I give up" to come after it had asked for time once more, the time it leads on
-   * would be given away again.
+   * Whether a message is a copy, or was overtaken by a later one of the same process. A late
+   * withdrawal of a candidate that has asked again since, and leads, would otherwise release the
+   * leases that it leads on.
    */
-  private boolean outdated(String from, String life, long n) {
-    String process = from + "/" + life;
+  private boolean outdated(PeerMessage message) {
+    String process = message.node() + "/" + message.incarnation();
     Long last = latest.get(process);
-    if (last != null && n <= last) {
+    if (last != null && message.number() <= last) {
       return true;
     }
-    latest.put(process, n);
+    latest.put(process, message.number());
     return false;
   }
 
@@ -234,7 +237,7 @@
   public void requestVotes(long term, Predicate<List<Vote>> enough, Consumer<List<Vote>> then) {
     List<Vote> votes = new ArrayList<>();
     Set<Peer> missing = new HashSet<>(settings.peers());
-    // Those who have not been there for a while are asked too, but the time of the others is not
+    // Those who have not been there for a while are asked too, but the leases of the others are not
     // held for them.
     missing.removeIf(peer -> !expected(peer));
     boolean[] told = new boolean[1];
@@ -245,7 +248,7 @@
             then.accept(votes);
           }
         };
-    byte[] body = Json.cbor(self().put("term", term));
+    byte[] body = message(term, null).toCbor();
     for (Peer peer : settings.peers()) {
       client.send(
           peer.address(),
@@ -254,10 +257,10 @@
           body,
           periodS / 2,
           answer -> {
-            JsonNode back = answer.ok() ? Json.parseCbor(answer.body()) : null;
-            if (back != null && Json.text(back, "life") != null) {
+            PeerAnswer vote = answer.ok() ? parsed(peer, answer) : null;
+            if (vote != null && vote.sender().incarnation() != null) {
               peerAnswered(peer);
-              votes.add(new Vote(peer.node(), Json.text(back, "life"), Json.flag(back, "granted")));
+              votes.add(new Vote(peer.node(), vote.sender().incarnation(), vote.granted()));
             }
             missing.remove(peer);
             tell.run();
@@ -268,7 +271,7 @@
 
   @Override
   public void withdraw(long term) {
-    byte[] body = Json.cbor(self().put("term", term));
+    byte[] body = message(term, null).toCbor();
     for (Peer peer : settings.peers()) {
       client.send(peer.address(), "POST", WITHDRAW, body, periodS, answer -> {});
     }
@@ -284,55 +287,55 @@
     if (!path.equals(HEARTBEAT) && !path.equals(VOTE) && !path.equals(WITHDRAW)) {
       return false;
     }
-    JsonNode message = request.body() == null ? null : Json.parseCbor(request.body());
-    String from = message == null ? null : Json.text(message, "node");
-    String life = message == null ? null : Json.text(message, "life");
-    if (!request.is("POST") || from == null || life == null) {
-      reply.error(400, "not a message of a peer");
+    PeerMessage message;
+    try {
+      message = PeerMessage.parse(request.is("POST") ? request.body() : null);
+    } catch (InvalidField e) {
+      LOG.warn("a message between controllers cannot be read: {}", e.getMessage());
+      reply.error(400, e.getMessage());
       return true;
     }
     heardAt = loop.now();
-    ObjectNode answer = self();
-    if (outdated(from, life, Json.count(message, "n", 0))) {
-      answer.put("granted", false);
-    } else {
-      answer(path, message, answer);
-    }
-    reply.send(200, CBOR, Json.cbor(answer), 0);
+    reply.send(200, CBOR, answer(path, message).toCbor(), 0);
     return true;
   }
 
-  private void answer(String path, JsonNode message, ObjectNode answer) {
-    String from = Json.text(message, "node");
-    String life = Json.text(message, "life");
-    long term = Json.count(message, "term", -1);
-    if (path.equals(WITHDRAW)) {
-      node.leadership().peerWithdrew(from, life, term);
-      return;
+  private PeerAnswer answer(String path, PeerMessage message) {
+    boolean candidate = path.equals(VOTE);
+    boolean withdrawn = path.equals(WITHDRAW);
+    boolean leads = path.equals(HEARTBEAT) && message.term() != PeerMessage.NO_TERM;
+    PeerMessage self = message(PeerMessage.NO_TERM, null);
+    if (outdated(message)) {
+      return new PeerAnswer(self, false, null);
+    }
+    if (withdrawn) {
+      node.leadership().peerWithdrew(message.node(), message.incarnation(), message.term());
+      return new PeerAnswer(self, false, null);
     }
     if (path.equals(HEARTBEAT)) {
-      receivedHeartbeat(message);
-      if (term >= 0) {
-        tellCancellations(answer);
-      }
+      received(message);
     }
-    boolean candidate = path.equals(VOTE);
-    boolean peerServed = Json.flag(message, "served");
-    answer.put(
-        "granted",
-        term >= 0
-            && node.leadership().grant(from, life, term, candidate, peerServed, node.served()));
+    boolean granted =
+        message.term() != PeerMessage.NO_TERM
+            && node.leadership()
+                .grant(
+                    message.node(),
+                    message.incarnation(),
+                    message.term(),
+                    candidate,
+                    message.served(),
+                    node.served());
+    return new PeerAnswer(self, granted, leads ? cancellations() : null);
   }
 
   /**
-   * To a leader, which may be refused by the state service while this node is served: what was
+   * For a leader, which may be refused by the state service while this node is served: what was
    * cancelled, so that it stops the tasks at once; and for how long nothing is missing, so that in
    * an outage it may go on with others.
    */
-  private void tellCancellations(ObjectNode answer) {
-    ArrayNode jobs = answer.putArray("cancelled");
-    node.store().recentlyCancelled().forEach(jobs::add);
-    answer.put("cancelled_s", node.store().cancellationsCoverS());
+  private PeerAnswer.Cancellations cancellations() {
+    return new PeerAnswer.Cancellations(
+        node.store().recentlyCancelled(), node.store().cancellationsCoverS());
   }
 
   /**
--- a/src/main/java/org/saffronshore/control/TermStore.java
+++ b/src/main/java/org/saffronshore/control/TermStore.java
@@ -23,6 +23,7 @@
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Loop;
 import org.saffronshore.leadership.Leadership;
+import org.saffronshore.state.CommitResult;
 import org.saffronshore.state.JobStore;
 import org.saffronshore.state.Keys;
 import org.saffronshore.state.StateClient;
@@ -134,11 +135,13 @@
 
   private static void finished(
       Map<String, BitSet> done, String name, JsonNode value, int pieceLength) {
-    BitSet bits = done.computeIfAbsent(Keys.idOf(Keys.PROGRESS + name), j -> new BitSet());
-    int piece = Integer.parseInt(name.substring(name.lastIndexOf('/') + 1));
     try {
-      BitSet.valueOf(value.binaryValue()).stream().forEach(i -> bits.set(piece * pieceLength + i));
+      int piece = Integer.parseInt(name.substring(name.lastIndexOf('/') + 1));
+      BitSet read = BitSet.valueOf(value.binaryValue());
+      BitSet bits = done.computeIfAbsent(Keys.idOf(Keys.PROGRESS + name), j -> new BitSet());
+      read.stream().forEach(i -> bits.set(piece * pieceLength + i));
     } catch (IOException | RuntimeException e) {
+      // The tasks run again; one whose result is kept ends at once when it is started again.
       LOG.error("the record of finished tasks {} cannot be read", name, e);
     }
   }
@@ -146,10 +149,20 @@
   /** How far each job's tasks may have been launched. */
   Map<String, Integer> readLaunchMarks(StateClient.Listing stored) {
     Map<String, Integer> all = new HashMap<>();
-    launchMark.read(stored.entries(), (job, value) -> all.merge(job, value.asInt(), Math::max));
+    launchMark.read(
+        stored.entries(), (job, value) -> all.merge(job, launchMark(job, value), Math::max));
     return all;
   }
 
+  /** One that cannot be read proves nothing: every task may have been launched. */
+  private static int launchMark(String job, JsonNode value) {
+    if (value.canConvertToInt()) {
+      return Math.max(0, value.intValue());
+    }
+    LOG.error("the launch mark of {} cannot be read: {}", job, value);
+    return JobSpec.MAX_TASKS;
+  }
+
   /**
    * Tells the cluster of all machines that may hold tasks, and forgets the progress of jobs that
    * are over.
@@ -182,7 +195,7 @@
 
   /** All that the machine can hold, or null when that may be anything. */
   private static Set<TaskId> held(JsonNode tasks) {
-    if (tasks == null) {
+    if (tasks == null || !tasks.isArray()) {
       return null;
     }
     Set<TaskId> held = new HashSet<>();
@@ -203,16 +216,13 @@
     return new Txn().guard(Keys.LEADER, leadership.keyVersion());
   }
 
-  private boolean stillLeading(JsonNode refusal) {
-    if (refusal != null) {
-      for (JsonNode key : refusal.path("failed")) {
-        if (Keys.LEADER.equals(key.asText())) {
-          leadership.stepDown("its key is gone");
-          return false;
-        }
-      }
+  /** Whether the guard on the leader's key held; if not, this node steps down. */
+  private boolean stillLeading(CommitResult refusal) {
+    boolean leads = !refusal.failedKeys().contains(Keys.LEADER);
+    if (!leads) {
+      leadership.stepDown("its key is gone");
     }
-    return true;
+    return leads;
   }
 
   /** The job is over: its finished tasks need not be kept any more. */
@@ -258,7 +268,7 @@
           if (leader.ended()) {
             return;
           }
-          if (answer.ok()) {
+          if (answer.committed()) {
             LOG.debug("job {} is done", id);
             store.remember(id, JobStore.Status.DONE);
             cluster.ended(id, true, endedMs);
@@ -269,7 +279,7 @@
           // Its user cancelled it, or an earlier try of ours came through, which the watch will
           // tell; or the
           // service is away, and to ask it again with every report would only add to its trouble.
-          if (answer.status() != 409 || stillLeading(answer.json())) {
+          if (!answer.refused() || stillLeading(answer)) {
             finishAgainAt = loop.now() + settings.reportS() / 6;
           }
         });
@@ -286,10 +296,10 @@
           if (leader.ended()) {
             return;
           }
-          if (answer.ok()) {
+          if (answer.committed()) {
             store.remember(id, JobStore.Status.CANCELLED);
-          } else if (answer.status() == 409) {
-            stillLeading(answer.json());
+          } else if (answer.refused()) {
+            stillLeading(answer);
           }
           then.run();
         });
@@ -345,8 +355,8 @@
             return;
           }
           then.accept(written);
-          if (!written && answer.status() == 409) {
-            stillLeading(answer.json());
+          if (!written && answer.refused()) {
+            stillLeading(answer);
           }
         });
   }
--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -10,6 +10,7 @@
 import org.saffronshore.http.Loop;
 import org.saffronshore.http.Reply;
 import org.saffronshore.http.Request;
+import org.saffronshore.peer.Progress;
 import org.saffronshore.state.JobStore;
 import org.saffronshore.state.JobStore.Accepted;
 import org.saffronshore.state.JobStore.Status;
--- a/src/main/java/org/saffronshore/fleet/Arrivals.java
+++ b/src/main/java/org/saffronshore/fleet/Arrivals.java
@@ -60,8 +60,8 @@
    * last two spans the leaner one counts, so that a heap of jobs that come at once is not taken for
    * a stream of them.
    */
-  public List<Plan.Unmet> within(double seconds, double now) {
-    List<Plan.Unmet> all = new ArrayList<>();
+  public List<Plan.UnplacedTasks> within(double seconds, double now) {
+    List<Plan.UnplacedTasks> all = new ArrayList<>();
     for (Seen s : classes.values()) {
       while (!s.recent.isEmpty() && s.recent.peekFirst().at < now - 2 * spanS) {
         s.recent.removeFirst();
@@ -77,7 +77,7 @@
       }
       int tasks = (int) (Math.min(last, before) / spanS * seconds);
       if (tasks > 0) {
-        all.add(new Plan.Unmet(s.example, tasks));
+        all.add(new Plan.UnplacedTasks(s.example, tasks));
       }
     }
     return all;
--- a/src/main/java/org/saffronshore/fleet/Forecast.java
+++ b/src/main/java/org/saffronshore/fleet/Forecast.java
@@ -97,14 +97,14 @@
    * @param lasts how long a task is expected to take
    * @param helpAt when a machine rented now for a task would be up
    */
-  public static List<Plan.Unmet> late(
+  public static List<Plan.UnplacedTasks> late(
       List<Line> lines,
-      List<Plan.Unmet> queue,
+      List<Plan.UnplacedTasks> queue,
       ToDoubleFunction<JobSpec> lasts,
       ToDoubleFunction<JobSpec> helpAt) {
-    List<Plan.Unmet> late = new ArrayList<>();
+    List<Plan.UnplacedTasks> late = new ArrayList<>();
     List<Failure> failures = new ArrayList<>();
-    for (Plan.Unmet u : queue) {
+    for (Plan.UnplacedTasks u : queue) {
       JobSpec job = u.job();
       double limit = helpAt.applyAsDouble(job);
       int left = u.tasks();
@@ -115,7 +115,7 @@
         }
       }
       if (left > 0) {
-        late.add(new Plan.Unmet(job, left));
+        late.add(new Plan.UnplacedTasks(job, left));
       }
     }
     return late;
--- a/src/main/java/org/saffronshore/fleet/RentalPlan.java
+++ b/src/main/java/org/saffronshore/fleet/RentalPlan.java
@@ -57,20 +57,20 @@
    */
   public static Map<MachineKind, Integer> orders(
       Map<String, MachineType> types,
-      List<Plan.Unmet> unmet,
+      List<Plan.UnplacedTasks> unmet,
       Map<String, Integer> perZone,
       Predicate<MachineKind> available) {
     RentalPlan plan = new RentalPlan(types, available, perZone);
     // Large tasks first: small ones then fill the gaps, and fewer machines do.
-    List<Plan.Unmet> groups = new ArrayList<>(unmet);
-    groups.sort(Comparator.comparingDouble((Plan.Unmet u) -> -u.job().cpus()));
+    List<Plan.UnplacedTasks> groups = new ArrayList<>(unmet);
+    groups.sort(Comparator.comparingDouble((Plan.UnplacedTasks u) -> -u.job().cpus()));
     for (int i = 0; i < groups.size(); i++) {
       plan.add(groups, i);
     }
     return plan.orders;
   }
 
-  private void add(List<Plan.Unmet> groups, int index) {
+  private void add(List<Plan.UnplacedTasks> groups, int index) {
     JobSpec job = groups.get(index).job();
     int left = groups.get(index).tasks();
     for (Bin bin : bins) {
@@ -93,7 +93,7 @@
    * The kind with the lowest price for what it would hold of the tasks that are left, from this
    * group on.
    */
-  private MachineKind cheapest(List<Plan.Unmet> groups, int index, int left) {
+  private MachineKind cheapest(List<Plan.UnplacedTasks> groups, int index, int left) {
     JobSpec job = groups.get(index).job();
     MachineKind best = null;
     double bestScore = Double.POSITIVE_INFINITY;
@@ -117,7 +117,7 @@
     return best;
   }
 
-  private static double held(Bin bin, List<Plan.Unmet> groups, int index, int left) {
+  private static double held(Bin bin, List<Plan.UnplacedTasks> groups, int index, int left) {
     double cpus = 0;
     for (int i = index; i < groups.size() && bin.room.cpus > 1e-6; i++) {
       JobSpec job = groups.get(i).job();
--- a/src/main/java/org/saffronshore/http/Loop.java
+++ b/src/main/java/org/saffronshore/http/Loop.java
@@ -1,8 +1,8 @@
 package org.saffronshore.http;
 
 /**
- * The one thread that owns all mutable state of a node, with its clock. Tests put a hand-moved one
- * in place. Times are seconds of a steady clock that has no relation to the time of day.
+ * The one thread that owns all mutable state of a node, with its clock. Tests use a manual one in
+ * place. Times are seconds of a steady clock that has no relation to the time of day.
  */
 public interface Loop {
 
--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -1,14 +1,15 @@
 package org.saffronshore.leadership;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Loop;
+import org.saffronshore.state.Changes;
+import org.saffronshore.state.KeyState;
 import org.saffronshore.state.Keys;
+import org.saffronshore.state.LeaderRecord;
 import org.saffronshore.state.StateClient;
 import org.saffronshore.state.Txn;
-import org.saffronshore.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -188,26 +189,9 @@
         Keys.LEADER,
         true,
         answer -> {
-          JsonNode body = answer.json();
-          if (answer.ok() && body != null) {
-            JsonNode value = body.path("Data");
-            leaderNode = Json.text(value, "Node");
-            leaderTerm = Json.count(value, "Term", -1);
-            if (settings.node().equals(leaderNode)
-                && !incarnation.equals(Json.text(value, "Life"))) {
-              // The key belongs to an earlier incarnation of this node: it need not be waited out.
-              leaderNode = null;
-              LOG.info(
-                  "ending the lease {} of an earlier incarnation of this node",
-                  Json.count(body, "Permit", 0));
-              state.release(
-                  Json.count(body, "Permit", 0),
-                  released -> loop.after(pause() / 4, this::readLeader));
-              return;
-            }
-            watchFrom = Json.count(body, "Stamp", 0);
-            watchLeader();
-          } else if (answer.status() == 404 && body != null) {
+          if (answer.found()) {
+            leaderFound(answer);
+          } else if (answer.missing()) {
             leaderNode = null;
             leaderTerm = -1;
             if (loop.now() < campaignAgainAt) {
@@ -222,20 +206,34 @@
         });
   }
 
+  private void leaderFound(KeyState key) {
+    LeaderRecord leader = LeaderRecord.parse(key.value());
+    leaderNode = leader.node();
+    leaderTerm = leader.term();
+    if (settings.node().equals(leaderNode) && !incarnation.equals(leader.incarnation())) {
+      // The key belongs to an earlier incarnation of this node: it need not be waited out.
+      leaderNode = null;
+      LOG.info("ending the lease {} of an earlier incarnation of this node", key.lease());
+      state.release(key.lease(), () -> loop.after(pause() / 4, this::readLeader));
+      return;
+    }
+    watchFrom = key.version();
+    watchLeader();
+  }
+
   private void watchLeader() {
     state.watch(
         Keys.LEADER,
         watchFrom,
         lifeS,
         answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (body == null || !body.path("Events").isArray()) {
+          if (!answer.received()) {
             // What is known may be old now. Saying nobody leads only sends workers to ask the next
             // node.
-            leaderNode = answer.status() == 410 ? leaderNode : null;
+            leaderNode = answer.outcome() == Changes.Outcome.TOO_OLD ? leaderNode : null;
             loop.after(pause(), this::readLeader);
-          } else if (body.get("Events").isEmpty()) {
-            watchFrom = Json.count(body, "Ledger", watchFrom);
+          } else if (answer.changes().isEmpty()) {
+            watchFrom = answer.revision();
             watchLeader();
           } else {
             leaderNode = null;
@@ -251,18 +249,21 @@
         Keys.TERM,
         true,
         read -> {
-          JsonNode old = read.json();
-          if (!read.ok() && read.status() != 404 || old == null) {
+          if (read.unknown()) {
             abandonCampaign(0);
-            return;
+          } else if (read.missing()) {
+            campaign(new LeaderRecord(null, null, 0), 0);
+          } else {
+            campaign(LeaderRecord.parse(read.value()), read.version());
           }
-          long lastTerm = read.ok() ? Json.count(old.path("Data"), "Term", 0) : 0;
-          long version = read.ok() ? Json.count(old, "Stamp", 0) : 0;
-          campaign(old.path("Data"), lastTerm, version);
         });
   }
 
-  private void campaign(JsonNode last, long lastTerm, long version) {
+  /**
+   * @param version of the term's key
+   */
+  private void campaign(LeaderRecord last, long version) {
+    long lastTerm = Math.max(0, last.term());
     long next = lastTerm + 1;
     // Its own lease first: two that grant theirs to each other, or a split vote, all fail.
     boolean own = leaseGrants.grant(settings.node(), incarnation, next);
@@ -339,15 +340,15 @@
    * Whether the process that led last has ended: another incarnation of the same node has just
    * answered, or is this one.
    */
-  private boolean isOver(JsonNode last, List<PeerVoting.Vote> votes) {
-    String node = Json.text(last, "Node");
-    String life = Json.text(last, "Life");
-    return settings.node().equals(node)
-        || votes.stream().anyMatch(v -> v.node().equals(node) && !v.life().equals(life));
+  private boolean isOver(LeaderRecord last, List<PeerVoting.Vote> votes) {
+    return settings.node().equals(last.node())
+        || votes.stream()
+            .anyMatch(
+                v -> v.node().equals(last.node()) && !v.incarnation().equals(last.incarnation()));
   }
 
   private static long granted(List<PeerVoting.Vote> votes) {
-    return votes.stream().filter(PeerVoting.Vote::recordGrant).count();
+    return votes.stream().filter(PeerVoting.Vote::granted).count();
   }
 
   private boolean elected(long next, long granted) {
@@ -362,41 +363,29 @@
     double sentAt = loop.now();
     state.grant(
         lifeS,
-        granted -> {
-          JsonNode body = granted.ok() ? granted.json() : null;
-          if (body == null) {
+        lease -> {
+          if (lease.isEmpty()) {
             abandonCampaign(0);
           } else {
-            claim(Json.count(body, "Permit", 0), sentAt, lastTerm, termVersion);
+            claim(lease.getAsLong(), sentAt, lastTerm, termVersion);
           }
         });
   }
 
   private void claim(long mine, double sentAt, long lastTerm, long termVersion) {
     long next = lastTerm + 1;
+    LeaderRecord claimed = new LeaderRecord(settings.node(), incarnation, next);
     Txn txn =
         new Txn()
             .guard(Keys.LEADER, 0)
             .guard(Keys.TERM, termVersion)
-            .set(
-                Keys.LEADER,
-                Json.object()
-                    .put("Node", settings.node())
-                    .put("Life", incarnation)
-                    .put("Term", next),
-                mine)
-            .set(
-                Keys.TERM,
-                Json.object()
-                    .put("Term", next)
-                    .put("Node", settings.node())
-                    .put("Life", incarnation));
+            .set(Keys.LEADER, claimed.toJson(), mine)
+            .set(Keys.TERM, claimed.toJson());
     state.commit(
         txn,
         true,
-        answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (body == null) {
+        result -> {
+          if (!result.committed()) {
             // A claim whose answer was lost may still be carried out, while the lease lives.
             abandonCampaign(mine);
             return;
@@ -404,7 +393,7 @@
           campaigning = false;
           leading = true;
           term = next;
-          keyVersion = Json.count(body, "Ledger", 0);
+          keyVersion = result.revision();
           lease.begin(mine, sentAt);
           renewalsAllowedUntil = Double.NEGATIVE_INFINITY;
           leaseGrants.clearHeld();
@@ -423,7 +412,7 @@
     if (mine == 0) {
       loop.after(pause(), again);
     } else {
-      state.release(mine, released -> loop.after(pause(), again));
+      state.release(mine, () -> loop.after(pause(), again));
     }
   }
 
--- a/src/main/java/org/saffronshore/leadership/PeerVoting.java
+++ b/src/main/java/org/saffronshore/leadership/PeerVoting.java
@@ -8,7 +8,7 @@
 public interface PeerVoting {
 
   /** A vote: which incarnation of the peer answered, and whether it grants its lease. */
-  record Vote(String node, String life, boolean recordGrant) {}
+  record Vote(String node, String incarnation, boolean granted) {}
 
   /** Requests votes until they are enough, or until every peer has answered or timed out. */
   void requestVotes(long term, Predicate<List<Vote>> enough, Consumer<List<Vote>> then);
--- a/src/main/java/org/saffronshore/leadership/StateServiceVoting.java
+++ b/src/main/java/org/saffronshore/leadership/StateServiceVoting.java
@@ -1,6 +1,5 @@
 package org.saffronshore.leadership;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -9,7 +8,7 @@
 import org.saffronshore.state.Keys;
 import org.saffronshore.state.StateClient;
 import org.saffronshore.state.Txn;
-import org.saffronshore.wire.Json;
+import org.saffronshore.state.VoteRequest;
 
 /**
  * Requests votes through the state service, for when the controllers do not reach one another
@@ -34,8 +33,8 @@
   private final String node;
   private final String life;
   private final double roundS;
-  private long calls;
-  private String seenCall = "";
+  private long requests;
+  private VoteRequest lastSeen;
   private int seen;
 
   StateServiceVoting(Loop loop, StateClient state, String node, String life, double roundS) {
@@ -48,107 +47,77 @@
 
   /** Tells which nodes voted for this one; none when another candidate has precedence. */
   void requestVotes(
-      long term, Granter giver, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
+      long term, Granter granter, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
     state.get(
         Keys.CALL,
         true,
-        answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (body == null && answer.status() != 404) {
+        key -> {
+          if (key.unknown()) {
             then.accept(Set.of());
-          } else if (body != null && goesFirst(body.path("Data"), term)) {
-            grant(body, term, giver, () -> then.accept(Set.of()));
+            return;
+          }
+          VoteRequest other = key.found() ? VoteRequest.parse(key.value()) : null;
+          if (other != null && hasPrecedence(other, term)) {
+            vote(other, key.version(), granter, () -> then.accept(Set.of()));
           } else {
-            call(term, body == null ? 0 : Json.count(body, "Stamp", -1), enough, then);
+            request(term, key.version(), enough, then);
           }
         });
   }
 
   /** Of two candidates the lesser name has precedence, as long as it keeps requesting. */
-  private boolean goesFirst(JsonNode call, long term) {
-    String by = Json.text(call, "Node");
-    if (by == null || by.compareTo(node) >= 0 || Json.count(call, "Term", -1) != term) {
+  private boolean hasPrecedence(VoteRequest other, long term) {
+    if (other.node() == null || other.node().compareTo(node) >= 0 || other.term() != term) {
       return false;
     }
-    String which = Json.text(call, "Life") + "/" + Json.count(call, "N", 0);
-    seen = which.equals(seenCall) ? seen + 1 : 1;
-    seenCall = which;
+    seen = other.equals(lastSeen) ? seen + 1 : 1;
+    lastSeen = other;
     return seen <= STALE;
   }
 
-  private void grant(JsonNode entry, long term, Granter giver, Runnable then) {
-    JsonNode call = entry.path("Data");
-    String to = Json.text(call, "Node");
-    String toLife = Json.text(call, "Life");
-    if (toLife == null || !giver.grant(to, toLife, term)) {
+  private void vote(VoteRequest other, long version, Granter granter, Runnable then) {
+    if (other.incarnation() == null
+        || !granter.grant(other.node(), other.incarnation(), other.term())) {
       then.run();
       return;
     }
     // If it is carried out late, it must not replace a vote for a later request.
-    Txn txn =
-        new Txn()
-            .guard(Keys.CALL, Json.count(entry, "Stamp", -1))
-            .set(
-                Keys.vote(node),
-                Json.object()
-                    .put("Term", term)
-                    .put("To", to)
-                    .put("Life", toLife)
-                    .put("N", Json.count(call, "N", 0)));
-    state.commit(txn, true, answer -> then.run());
+    Txn txn = new Txn().guard(Keys.CALL, version).set(Keys.vote(node), other.toVote());
+    state.commit(txn, true, result -> then.run());
   }
 
-  private void call(
+  private void request(
       long term, long version, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
-    long number = ++calls;
-    Txn txn =
-        new Txn()
-            .guard(Keys.CALL, version)
-            .set(
-                Keys.CALL,
-                Json.object()
-                    .put("Node", node)
-                    .put("Life", life)
-                    .put("Term", term)
-                    .put("N", number));
+    VoteRequest request = new VoteRequest(node, life, term, ++requests);
+    Txn txn = new Txn().guard(Keys.CALL, version).set(Keys.CALL, request.toJson());
     state.commit(
         txn,
         true,
-        answer -> {
-          if (answer.ok()) {
-            loop.after(roundS / LOOKS, () -> look(term, number, 1, enough, then));
+        result -> {
+          if (result.committed()) {
+            loop.after(roundS / LOOKS, () -> readVotes(request, 1, enough, then));
           } else {
             then.accept(Set.of());
           }
         });
   }
 
-  private void look(
-      long term,
-      long number,
-      int looks,
-      Predicate<Set<String>> enough,
-      Consumer<Set<String>> then) {
+  private void readVotes(
+      VoteRequest request, int looks, Predicate<Set<String>> enough, Consumer<Set<String>> then) {
     state.list(
         Keys.VOTES,
         true,
         votes -> {
           Set<String> granted = new HashSet<>();
           if (votes != null) {
-            for (StateClient.Entry e : votes.entries()) {
-              JsonNode v = e.value();
-              if (Json.count(v, "Term", -1) == term
-                  && node.equals(Json.text(v, "To"))
-                  && life.equals(Json.text(v, "Life"))
-                  && Json.count(v, "N", -1) == number) {
-                granted.add(e.key().substring(Keys.VOTES.length()));
-              }
-            }
+            votes.entries().stream()
+                .filter(entry -> request.isVotedForBy(entry.value()))
+                .forEach(entry -> granted.add(entry.key().substring(Keys.VOTES.length())));
           }
           if (enough.test(granted) || looks >= LOOKS) {
             then.accept(granted);
           } else {
-            loop.after(roundS / LOOKS, () -> look(term, number, looks + 1, enough, then));
+            loop.after(roundS / LOOKS, () -> readVotes(request, looks + 1, enough, then));
           }
         });
   }
--- a/src/main/java/org/saffronshore/leadership/StoreLease.java
+++ b/src/main/java/org/saffronshore/leadership/StoreLease.java
@@ -48,7 +48,7 @@
   void release(Runnable then) {
     generation++;
     validUntil = Double.NEGATIVE_INFINITY;
-    state.release(id, released -> then.run());
+    state.release(id, then);
   }
 
   private void renewAfter(double seconds, int of) {
@@ -66,20 +66,22 @@
     state.renew(
         id,
         Math.min(StateClient.TIMEOUT_S, lifeS / 2),
-        answer -> {
+        renewal -> {
           if (of != generation) {
             return;
           }
-          if (answer.ok()) {
-            validUntil = Math.max(validUntil, sentAt + Settings.shortestLocalTime(lifeS));
-            renewAfter(lifeS / RENEWALS_PER_LIFE, of);
-          } else if (answer.status() == 404) {
-            onExpired.run();
-          } else {
-            // Not the end yet, even when it is not valid any more: after an outage of the state
-            // service every lease has its full time again.
-            LOG.debug("renewal failed with {}; lease valid: {}", answer.status(), valid());
-            renewAfter(lifeS * RETRY_SHARE, of);
+          switch (renewal) {
+            case RENEWED -> {
+              validUntil = Math.max(validUntil, sentAt + Settings.shortestLocalTime(lifeS));
+              renewAfter(lifeS / RENEWALS_PER_LIFE, of);
+            }
+            case EXPIRED -> onExpired.run();
+            default -> {
+              // Not the end yet, even when it is not valid any more: after an outage of the state
+              // service every lease has its full time again.
+              LOG.debug("a renewal failed; lease valid: {}", valid());
+              renewAfter(lifeS * RETRY_SHARE, of);
+            }
           }
         });
   }
--- /dev/null
+++ b/src/main/java/org/saffronshore/peer/PeerMessage.java
@@ -0,0 +1,98 @@
+package org.saffronshore.peer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.Json;
+
+/**
+ * What one controller sends to another: heartbeats, requests for a vote, withdrawals.
+ *
+ * @param node the sender
+ * @param incarnation distinguishes the sending process from earlier ones of the same node
+ * @param number rises with every message of a process, so that copies and late messages are known
+ * @param served whether the state service answers the sender
+ * @param servedAgoS how long ago it last did
+ * @param term the term that the sender leads or wants to lead, or {@link #NO_TERM}
+ * @param progress how far jobs are, from a leader only; null otherwise
+ */
+public record PeerMessage(
+    String node,
+    String incarnation,
+    long number,
+    boolean served,
+    double servedAgoS,
+    long term,
+    Map<String, Progress> progress) {
+
+  /** The term of a sender that neither leads nor wants to. */
+  public static final long NO_TERM = -1;
+
+  /** Longer than this ago counts as never; infinity cannot be told. */
+  private static final double LONGEST_AGO_S = 1e9;
+
+  /** Reads a message; one without a sender is refused. */
+  public static PeerMessage parse(byte[] body) throws InvalidField {
+    JsonNode message = body == null ? null : Json.parseCbor(body);
+    if (message == null || !message.isObject()) {
+      throw new InvalidField("body", "must be an object in CBOR");
+    }
+    PeerMessage parsed = parse(message);
+    if (parsed.node == null) {
+      throw new InvalidField("node", "is missing");
+    }
+    if (parsed.incarnation == null) {
+      throw new InvalidField("life", "is missing");
+    }
+    return parsed;
+  }
+
+  /** Reads the fields that messages and answers have in common; those that are missing are null. */
+  static PeerMessage parse(JsonNode message) {
+    return new PeerMessage(
+        Json.text(message, "node"),
+        Json.text(message, "life"),
+        Json.count(message, "n", 0),
+        Json.flag(message, "served"),
+        Json.number(message, "served_s", Double.POSITIVE_INFINITY),
+        Json.count(message, "term", NO_TERM),
+        progress(message.path("jobs")));
+  }
+
+  private static Map<String, Progress> progress(JsonNode jobs) {
+    if (!jobs.isObject()) {
+      return null;
+    }
+    Map<String, Progress> all = new HashMap<>();
+    for (Map.Entry<String, JsonNode> job : jobs.properties()) {
+      JsonNode counts = job.getValue();
+      all.put(job.getKey(), new Progress(counts.path(0).asInt(), counts.path(1).asInt()));
+    }
+    return all;
+  }
+
+  /** The form in which it is sent. */
+  public byte[] toCbor() {
+    return Json.cbor(toTree());
+  }
+
+  ObjectNode toTree() {
+    ObjectNode tree =
+        Json.object()
+            .put("node", node)
+            .put("life", incarnation)
+            .put("n", number)
+            .put("served", served)
+            .put("served_s", Math.min(LONGEST_AGO_S, servedAgoS));
+    if (term != NO_TERM) {
+      tree.put("term", term);
+    }
+    if (progress != null) {
+      ObjectNode jobs = tree.putObject("jobs");
+      progress.forEach((job, p) -> jobs.putArray(job).add(p.done()).add(p.running()));
+    }
+    return tree;
+  }
+}
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -65,8 +65,8 @@
       cycle.evict(random);
     }
     cycle.fill();
-    List<Plan.Unmet> left = new ArrayList<>();
-    cycle.unmet.forEach((p, n) -> left.add(new Plan.Unmet(p.job, n)));
+    List<Plan.UnplacedTasks> left = new ArrayList<>();
+    cycle.unmet.forEach((p, n) -> left.add(new Plan.UnplacedTasks(p.job, n)));
     return new Plan(cycle.placements, cycle.stops, left);
   }
 
--- a/src/main/java/org/saffronshore/scheduling/Plan.java
+++ b/src/main/java/org/saffronshore/scheduling/Plan.java
@@ -5,7 +5,7 @@
 import org.saffronshore.wire.TaskId;
 
 /** What a cycle decided. */
-public record Plan(List<Placement> placements, List<Stop> stops, List<Unmet> unmet) {
+public record Plan(List<Placement> placements, List<Stop> stops, List<UnplacedTasks> unmet) {
 
   /**
    * {@code overdue}: the task was placed before all others since its job had waited for very long.
@@ -19,5 +19,5 @@
    * Tasks of a job that found no place although the team's limit lets them run; in the order of the
    * queue.
    */
-  public record Unmet(JobSpec job, int tasks) {}
+  public record UnplacedTasks(JobSpec job, int tasks) {}
 }
--- a/src/main/java/org/saffronshore/state/JobReader.java
+++ b/src/main/java/org/saffronshore/state/JobReader.java
@@ -14,7 +14,6 @@
 import org.saffronshore.state.JobStore.End;
 import org.saffronshore.state.JobStore.Status;
 import org.saffronshore.wire.JobSpec;
-import org.saffronshore.wire.Json;
 
 /**
  * Reads jobs from the state service into the cache. A few jobs are read one by one; of many, the
@@ -52,11 +51,10 @@
         Keys.job(id),
         false,
         answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (body != null) {
-            keep(id, body.path("Data"), Json.count(body, "Stamp", -1));
+          if (answer.found()) {
+            keep(id, answer.value(), answer.version());
             then.accept(Status.OPEN);
-          } else if (answer.status() == 404) {
+          } else if (answer.missing()) {
             cache.dropRecord(id);
             readEnd(id, end -> then.accept(end.status()));
           } else {
@@ -136,11 +134,10 @@
         Keys.end(id),
         false,
         answer -> {
-          JsonNode body = answer.ok() ? answer.json() : null;
-          if (body != null) {
-            then.accept(ended(id, body.path("Data")));
+          if (answer.found()) {
+            then.accept(ended(id, answer.value()));
           } else {
-            then.accept(new End(answer.status() == 404 ? Status.ABSENT : Status.UNKNOWN, 0));
+            then.accept(new End(answer.missing() ? Status.ABSENT : Status.UNKNOWN, 0));
           }
         });
   }
--- a/src/main/java/org/saffronshore/state/JobStore.java
+++ b/src/main/java/org/saffronshore/state/JobStore.java
@@ -236,30 +236,30 @@
         Keys.job(id),
         false,
         open -> {
-          JsonNode body = open.ok() ? open.json() : null;
-          if (open.status() == 404) {
+          if (open.missing()) {
             reader.readEnd(id, end -> then.accept(end.status()));
-            return;
+          } else if (open.unknown()) {
+            then.accept(Status.UNKNOWN);
+          } else {
+            cancel(id, open.version(), tries, then);
           }
-          if (body == null) {
+        });
+  }
+
+  private void cancel(String id, long version, int tries, Consumer<Status> then) {
+    Txn txn = end(new Txn(), id, version, Status.CANCELLED, loop.wallMs());
+    state.commit(
+        txn,
+        false,
+        result -> {
+          if (result.committed()) {
+            remember(id, Status.CANCELLED);
+            then.accept(Status.CANCELLED);
+          } else if (result.refused() && tries > 1) {
+            cancel(id, tries - 1, then);
+          } else {
             then.accept(Status.UNKNOWN);
-            return;
           }
-          Txn txn =
-              end(new Txn(), id, Json.count(body, "Stamp", -1), Status.CANCELLED, loop.wallMs());
-          state.commit(
-              txn,
-              false,
-              answer -> {
-                if (answer.ok()) {
-                  remember(id, Status.CANCELLED);
-                  then.accept(Status.CANCELLED);
-                } else if (answer.status() == 409 && tries > 1) {
-                  cancel(id, tries - 1, then);
-                } else {
-                  then.accept(Status.UNKNOWN);
-                }
-              });
         });
   }
 }
--- a/src/main/java/org/saffronshore/state/OpenCheck.java
+++ b/src/main/java/org/saffronshore/state/OpenCheck.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.saffronshore.config.Settings;
-import org.saffronshore.http.Answer;
 import org.saffronshore.http.Loop;
 
 /**
@@ -105,18 +104,18 @@
     state.commit(
         txn,
         false,
-        answer -> {
+        result -> {
           busy = false;
-          answered(asked, answer);
+          answered(asked, result);
           sendNext();
         });
   }
 
-  private void answered(Map<String, List<Question>> asked, Answer answer) {
-    Set<String> failed = StateClient.failedIds(answer);
+  private void answered(Map<String, List<Question>> asked, CommitResult result) {
+    Set<String> failed = result.failedJobs();
     asked.forEach(
         (job, questions) -> {
-          if (answer.ok()) {
+          if (result.committed()) {
             questions.forEach(question -> question.answer(job, true));
           } else if (failed.isEmpty()) {
             questions.forEach(Question::fail);
--- a/src/main/java/org/saffronshore/state/RateLimiter.java
+++ b/src/main/java/org/saffronshore/state/RateLimiter.java
@@ -4,7 +4,7 @@
 
 /**
  * This node's share of a rate that the service's nodes have in common. A part of the burst is kept
- * for what the service cannot do without, such as renewing the leader's permit.
+ * for what the service cannot do without, such as renewing the leader's lease.
  */
 public final class RateLimiter {
   /** Users' requests leave this share of the burst alone. */
--- a/src/main/java/org/saffronshore/state/StateClient.java
+++ b/src/main/java/org/saffronshore/state/StateClient.java
@@ -3,10 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Answer;
@@ -51,6 +50,17 @@
   /** A key with its value and its version. */
   public record Entry(String key, JsonNode value, long version) {}
 
+  /** What became of a renewal; UNKNOWN when the state service did not tell. */
+  public enum Renewal {
+    RENEWED,
+    EXPIRED,
+    UNKNOWN;
+
+    private static Renewal of(Answer answer) {
+      return answer.ok() ? RENEWED : answer.status() == 404 ? EXPIRED : UNKNOWN;
+    }
+  }
+
   /** All keys under a prefix, and the revision from which a watch on them continues. */
   public record Listing(List<Entry> entries, long revision) {}
 
@@ -173,52 +183,58 @@
         });
   }
 
-  /**
-   * 200 with the entry, 404 when the key does not exist; anything else says nothing about the key.
-   */
-  public void get(String key, boolean vital, Answer.Receiver then) {
-    send("GET", "/kv/" + key, null, TIMEOUT_S, vital, then);
+  /** Reads one key. */
+  public void get(String key, boolean vital, Consumer<KeyState> then) {
+    send("GET", "/kv/" + key, null, TIMEOUT_S, vital, answer -> then.accept(KeyState.of(answer)));
   }
 
-  /** Sends a transaction: 200 when it was carried out, 409 when a guard failed. */
-  public void commit(Txn txn, boolean vital, Answer.Receiver then) {
+  /** Sends a transaction. */
+  public void commit(Txn txn, boolean vital, Consumer<CommitResult> then) {
     if (txn.changes() > 0 && !writes.take(txn.changes(), vital)) {
-      loop.soon(() -> then.receive(OVER_BUDGET));
+      loop.soon(() -> then.accept(CommitResult.of(OVER_BUDGET)));
       return;
     }
-    send("POST", "/commit", txn.bytes(), TIMEOUT_S, vital, then);
+    send(
+        "POST",
+        "/commit",
+        txn.bytes(),
+        TIMEOUT_S,
+        vital,
+        answer -> then.accept(CommitResult.of(answer)));
   }
 
-  /** Creates a lease: 200 with its id. */
-  public void grant(double lifeS, Answer.Receiver then) {
+  /** Creates a lease, and tells its id; empty when that failed. */
+  public void grant(double lifeS, Consumer<OptionalLong> then) {
+    byte[] body = Json.bytes(Json.object().put("LifeMs", Math.round(lifeS * 1000)));
     send(
         "POST",
         "/holds",
-        Json.bytes(Json.object().put("LifeMs", Math.round(lifeS * 1000))),
+        body,
         TIMEOUT_S,
         true,
-        then);
-  }
-
-  public void renew(long permit, double timeoutS, Answer.Receiver then) {
-    send("POST", "/holds/" + permit + "/renew", Json.bytes(Json.object()), timeoutS, true, then);
+        answer -> {
+          JsonNode lease = answer.ok() ? answer.json() : null;
+          then.accept(
+              lease == null
+                  ? OptionalLong.empty()
+                  : OptionalLong.of(Json.count(lease, "Permit", 0)));
+        });
   }
 
-  public void release(long permit, Answer.Receiver then) {
-    send("DELETE", "/holds/" + permit, null, TIMEOUT_S, true, then);
+  /** Renews a lease. */
+  public void renew(long lease, double timeoutS, Consumer<Renewal> then) {
+    send(
+        "POST",
+        "/holds/" + lease + "/renew",
+        Json.bytes(Json.object()),
+        timeoutS,
+        true,
+        answer -> then.accept(Renewal.of(answer)));
   }
 
-  /**
-   * The ids of the jobs whose keys a refused transaction names; none when it was not refused for
-   * its guards.
-   */
-  public static Set<String> failedIds(Answer answer) {
-    Set<String> failed = new HashSet<>();
-    JsonNode body = answer.status() == 409 ? answer.json() : null;
-    if (body != null) {
-      body.path("failed").forEach(key -> failed.add(Keys.idOf(key.asText())));
-    }
-    return failed;
+  /** Ends a lease at once, and tells when that was answered. */
+  public void release(long lease, Runnable then) {
+    send("DELETE", "/holds/" + lease, null, TIMEOUT_S, true, answer -> then.run());
   }
 
   /** Reads every key under a prefix; null when a page could not be had. */
@@ -318,17 +334,16 @@
         });
   }
 
-  /**
-   * Waits for changes under a prefix after a revision: 200 with events, 410 when the revision is
-   * too old.
-   */
-  public void watch(String prefix, long after, double holdS, Answer.Receiver then) {
+  /** Waits for changes under a prefix after a revision. */
+  public void watch(String prefix, long after, double holdS, Consumer<Changes> then) {
+    String path =
+        "/changes?Under=" + prefix + "&After=" + after + "&HoldMs=" + Math.round(holdS * 1000);
     send(
         "GET",
-        "/changes?Under=" + prefix + "&After=" + after + "&HoldMs=" + Math.round(holdS * 1000),
+        path,
         null,
         holdS + TIMEOUT_S,
         true,
-        then);
+        answer -> then.accept(Changes.of(answer, after)));
   }
 }
--- a/src/main/java/org/saffronshore/state/SubmissionQueue.java
+++ b/src/main/java/org/saffronshore/state/SubmissionQueue.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.saffronshore.config.Settings;
-import org.saffronshore.http.Answer;
 import org.saffronshore.http.Loop;
 import org.saffronshore.state.JobStore.Accepted;
 import org.saffronshore.wire.JobSpec;
@@ -146,9 +145,9 @@
     state.commit(
         txn,
         false,
-        answer -> {
+        result -> {
           committing = false;
-          committed(batch, answer);
+          committed(batch, result);
           if (!committing && !waiting.isEmpty()) {
             commitNext();
           }
@@ -179,31 +178,32 @@
     return batch;
   }
 
-  private void committed(List<Submission> batch, Answer answer) {
-    if (answer.status() == 409) {
-      refused(batch, StateClient.failedIds(answer));
-      return;
+  private void committed(List<Submission> batch, CommitResult result) {
+    switch (result.outcome()) {
+      case COMMITTED -> batch.forEach(submission -> accepted(submission, result.revision()));
+      case REFUSED -> refused(batch, result.failedJobs());
+      case OVERLOADED -> batch.forEach(submission -> submission.then.accept(Accepted.OVERLOADED));
+      case MALFORMED -> malformed(batch);
+      default -> batch.forEach(submission -> submission.then.accept(Accepted.UNKNOWN));
     }
-    if (answer.status() == 400 && batch.size() > 1) {
-      Collections.reverse(batch);
-      for (Submission submission : batch) {
-        submission.alone = true;
-        waiting.addFirst(submission);
-      }
+  }
+
+  private void accepted(Submission submission, long version) {
+    JobSpec job = submission.job;
+    cache.putRecord(job.id(), new JobCache.JobRecord(version, job.dependencies()));
+    submission.then.accept(submission.complete ? Accepted.NEW : Accepted.NEW_UNPROVEN);
+  }
+
+  /** One of them is at fault: each is tried alone. */
+  private void malformed(List<Submission> batch) {
+    if (batch.size() == 1) {
+      batch.get(0).then.accept(Accepted.UNKNOWN);
       return;
     }
-    long version =
-        answer.ok() && answer.json() != null ? Json.count(answer.json(), "Ledger", 0) : 0;
+    Collections.reverse(batch);
     for (Submission submission : batch) {
-      if (answer.ok()) {
-        if (version > 0) {
-          cache.putRecord(
-              submission.job.id(), new JobCache.JobRecord(version, submission.job.dependencies()));
-        }
-        submission.then.accept(submission.complete ? Accepted.NEW : Accepted.NEW_UNPROVEN);
-      } else {
-        submission.then.accept(answer.status() == 429 ? Accepted.OVERLOADED : Accepted.UNKNOWN);
-      }
+      submission.alone = true;
+      waiting.addFirst(submission);
     }
   }
 
--- a/src/main/java/org/saffronshore/state/Txn.java
+++ b/src/main/java/org/saffronshore/state/Txn.java
@@ -33,9 +33,9 @@
     return this;
   }
 
-  /** Sets a key that goes away with the permit it hangs on. */
-  public Txn set(String key, JsonNode value, long permit) {
-    changes.addObject().put("Set", key).put("Permit", permit).set("Data", value);
+  /** Sets a key that goes away with the lease it hangs on. */
+  public Txn set(String key, JsonNode value, long lease) {
+    changes.addObject().put("Set", key).put("Permit", lease).set("Data", value);
     return this;
   }
 
--- /dev/null
+++ b/src/test/java/org/saffronshore/control/MalformedInputTest.java
@@ -0,0 +1,123 @@
+package org.saffronshore.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.Samples;
+import org.saffronshore.http.Request;
+import org.saffronshore.peer.PeerAnswer;
+import org.saffronshore.peer.PeerMessage;
+import org.saffronshore.peer.Progress;
+import org.saffronshore.wire.InvalidField;
+import org.saffronshore.wire.Json;
+import org.saffronshore.wire.Priority;
+
+/**
+ * Stored values and peer messages that cannot be read are logged and handled; nothing ends by them.
+ */
+class MalformedInputTest extends ClusterSimulation {
+
+  private static JsonNode json(String text) {
+    return Json.parse(text.replace('\'', '"').getBytes());
+  }
+
+  /** Each value damages what the next leader reads; what can be read of the rest goes on. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "p/0 | {'garbage':1,'wk-1/x':'Aw==','wk-1/0':7}",
+        "p/0 | {'wk-1/0':'!'}",
+        "p/x | {'wk-1/0':'Aw=='}",
+        "p/0 | 'text'",
+        "q/0 | {'wk-1/0':{'Bits':[],'Piece':'x'},'wk-1':{}}",
+        "b/0 | {'wk-1':'x','wk-7':-1}",
+        "r/0 | {'host-7':{'At':'soon','Held':'x'},'host-8':3,'host-9':{'At':1,'Held':['wk-1']}}",
+        "j/wk-9 | 'text'",
+        "j/wk-9 | {'At':5,'Spec':{'Uid':'wk-9'}}",
+        "f/wk-8 | {'State':7}",
+        "o/settings | {'period_s':'x'}",
+        "m/types | {'Rigs':7}",
+        "t/term | {'Term':'x'}",
+        "e/call | 'text'"
+      })
+  void aDamagedRecordEndsNothing(String key, String value) throws InvalidField {
+    JsonNode spec = Samples.job("wk-1", "red", Priority.STANDARD, 2, 4).toJson();
+    state.put("j/wk-1", Json.object().put("At", 0).set("Spec", spec));
+    state.put("b/0", json("{'wk-1':2}"));
+    state.put(key, json(value));
+    process = new Process("n-0");
+    loop.pass(2 * Samples.LEASE_S + RUN_S + 20);
+    assertEquals("done", process.ask("GET", "/work/wk-1", null, 200).get("Status").asText());
+    assertEquals(2, starts.size(), starts.toString());
+  }
+
+  /** Of a job whose launch mark cannot be read any task may have been launched. */
+  @Test
+  void anUnreadableLaunchMarkIsNoProofThatNothingWasLaunched() throws InvalidField {
+    JsonNode spec = Samples.job("wk-1", "red", Priority.STANDARD, 2, 4).toJson();
+    state.put("j/wk-1", Json.object().put("At", 0).set("Spec", spec));
+    state.put("b/0", json("{'wk-1':'x'}"));
+    state.put("r/0", json("{'host-7':{'At':1}}"));
+    process = new Process("n-0");
+    loop.pass(Samples.LEASE_S / 2);
+    assertEquals(0, starts.size(), "host-7 may hold them until its lease is over");
+    loop.pass(2 * Samples.LEASE_S + RUN_S);
+    assertEquals(2, starts.size());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "7 | body",
+        "[] | body",
+        "{} | node",
+        "{'node':3,'life':'x'} | node",
+        "{'node':'n-1'} | life",
+        "{'node':'n-1','life':[]} | life"
+      })
+  void aMessageWithoutASenderIsRefused(String message, String field) throws InvalidField {
+    byte[] body = Json.cbor(json(message));
+    assertEquals(field, assertThrows(InvalidField.class, () -> PeerMessage.parse(body)).field());
+    process = new Process("n-0", true);
+    int[] status = {0};
+    process
+        .node
+        .peers()
+        .handle(
+            new Request("POST", "/peer/vote", body), (code, type, bytes, r) -> status[0] = code);
+    assertEquals(400, status[0]);
+  }
+
+  /** Fields that are missing or of another kind are taken as not known. */
+  @Test
+  void messagesAndAnswersAreReadAsFarAsTheyGo() throws InvalidField {
+    PeerMessage message =
+        PeerMessage.parse(
+            Json.cbor(json("{'node':'n-1','life':'x','term':'y','jobs':{'wk-1':7,'wk-2':[1,2]}}")));
+    assertEquals(PeerMessage.NO_TERM, message.term());
+    assertEquals(Double.POSITIVE_INFINITY, message.servedAgoS());
+    assertEquals(2, message.progress().get("wk-2").running());
+    assertEquals(0, message.progress().get("wk-1").done());
+    PeerAnswer answer = PeerAnswer.parse(Json.cbor(json("{'cancelled':'wk-1'}")));
+    assertTrue(!answer.granted() && answer.cancellations() == null);
+  }
+
+  @Test
+  void readsWhatItWrote() throws InvalidField {
+    PeerMessage message =
+        new PeerMessage("n-1", "x", 4, true, 0.5, 7, Map.of("wk-1", new Progress(1, 2)));
+    assertEquals(message, PeerMessage.parse(message.toCbor()));
+    PeerAnswer answer =
+        new PeerAnswer(message, true, new PeerAnswer.Cancellations(List.of("wk-9"), 3.5));
+    assertEquals(answer, PeerAnswer.parse(answer.toCbor()));
+  }
+}
--- a/src/test/java/org/saffronshore/control/NodeTest.java
+++ b/src/test/java/org/saffronshore/control/NodeTest.java
@@ -48,7 +48,7 @@
     assertEquals("done", status("wk-1"));
     assertEquals(2, workers.size());
     starts.clear();
-    // Longer than its permit lives, and too short for the machines to count as silent.
+    // Longer than its lease lives, and too short for the machines to count as silent.
     process.standsStillAfterACallFor = Samples.LEASE_S / 10 + 0.1;
     process.ask("POST", "/work", job("wk-2", 4).toJson(), 201);
     loop.pass(0.1);
