--- a/src/test/java/org/saffronshore/control/ReadmeTest.java
+++ b/src/test/java/org/saffronshore/control/ReadmeTest.java
@@ -1,6 +1,7 @@
 package org.saffronshore.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -13,6 +14,7 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.saffronshore.Samples;
+import org.saffronshore.config.Settings;
 import org.saffronshore.wire.InvalidField;
 import org.saffronshore.wire.Json;
 
@@ -55,4 +57,16 @@
         "aborted", process.ask("POST", "/work/wk-000011/cancel", null, 200).get("Status").asText());
     assertEquals("aborted", status("wk-000012"));
   }
+
+  /** The settings that stand there are taken as they are. */
+  @Test
+  void itsSettingsAreValid() throws IOException, InvalidField {
+    Matcher m =
+        Pattern.compile("(?s)\\n    (\\{\"node\".*?\\}\\})\\n\\n")
+            .matcher(Files.readString(Path.of("README.md")));
+    assertTrue(m.find());
+    Settings settings = Settings.parse(Json.parse(m.group(1).getBytes()));
+    assertEquals("n-0", settings.node());
+    assertEquals(2, settings.valueKb(), "the smaller of now and next");
+  }
 }
