Log lines and metrics that tell why a start was allowed, and what limits count

Need: from the records of the incident nobody could tell what the leader of term 9 counted for the team, what it took the unaccounted machines to hold, or what its term began with.

Change: at debug one line for each placement (attempt, machines unaccounted for, the team's use as counted before: running, launched, possible, possibly held, limit), for each team held back by its limit in a cycle, for each machine that is registered, accounted for, frozen, lost or gone (with its tasks), for each call (token, session), for what a term was read from (revisions), and for each answer to a user. Metrics by team of the same amounts, and of cycles in which a limit held back a task, by whether unaccounted machines were the reason. A placement and what the limit holds back are part of the plan, so that the comparison with the plain cycle covers them too.

--- a/src/main/java/org/saffronshore/admin/Metrics.java
+++ b/src/main/java/org/saffronshore/admin/Metrics.java
@@ -5,7 +5,9 @@
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import org.HdrHistogram.Histogram;
@@ -58,7 +60,11 @@
 
   private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
   private final Map<Latency, Histogram> latencies = new EnumMap<>(Latency.class);
-  private final Map<String, DoubleSupplier> gauges = new java.util.LinkedHashMap<>();
+  private final List<TaggedValue> tagged = new ArrayList<>();
+
+  /** A gauge, or a counter, that stands once for each value of some tags. */
+  private record TaggedValue(String name, Tags tags, boolean counts, DoubleSupplier value) {}
+
   private PrometheusMeterRegistry registry;
 
   /** Starts with every counter at zero. */
@@ -83,8 +89,23 @@
     latencies.get(latency).recordValue(Math.min(MAX_MICROS, Math.max(0, (long) (seconds * 1e6))));
   }
 
+  /** Adds a gauge; its name must be new. */
   public void gauge(String name, DoubleSupplier value) {
-    gauges.put(name, value);
+    tagged.add(new TaggedValue(name, Tags.empty(), false, value));
+  }
+
+  /**
+   * Adds one gauge of several with the same name.
+   *
+   * @param tags names and values in turn
+   */
+  public void gauge(String name, DoubleSupplier value, String... tags) {
+    tagged.add(new TaggedValue(name, Tags.of(tags), false, value));
+  }
+
+  /** Adds one counter of several with the same name; its value must never fall. */
+  public void counter(String name, DoubleSupplier value, String... tags) {
+    tagged.add(new TaggedValue(name, Tags.of(tags), true, value));
   }
 
   /** All metrics in the text form that Prometheus reads. */
@@ -93,9 +114,7 @@
       registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
       counts.forEach(
           (c, n) -> FunctionCounter.builder(PREFIX + c.name, n, v -> v[0]).register(registry));
-      gauges.forEach(
-          (name, value) ->
-              Gauge.builder(PREFIX + name, value, DoubleSupplier::getAsDouble).register(registry));
+      tagged.forEach(this::register);
       latencies.forEach(
           (l, h) -> {
             for (double q : QUANTILES) {
@@ -110,4 +129,16 @@
     }
     return registry.scrape();
   }
+
+  private void register(TaggedValue t) {
+    if (t.counts) {
+      FunctionCounter.builder(PREFIX + t.name, t.value, DoubleSupplier::getAsDouble)
+          .tags(t.tags)
+          .register(registry);
+    } else {
+      Gauge.builder(PREFIX + t.name, t.value, DoubleSupplier::getAsDouble)
+          .tags(t.tags)
+          .register(registry);
+    }
+  }
 }
--- a/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
+++ b/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 import java.util.concurrent.Callable;
 import org.saffronshore.config.Settings;
 import org.saffronshore.wire.Json;
@@ -21,6 +22,59 @@
     hidden = true,
     description = "Runs for a moment, for the build to archive classes.")
 final class CdsTrainingCommand implements Callable<Integer> {
+  /** Classes that only a leader loads, below the package of the project. */
+  private static final List<String> LEADER_CLASSES =
+      List.of(
+          "cluster.Cluster",
+          "cluster.CommandBatch",
+          "cluster.CommandDispatcher",
+          "cluster.Views",
+          "cluster.JobTable",
+          "cluster.MachineTable",
+          "cluster.RunTimes",
+          "cluster.MachineRegistry",
+          "cluster.UnresponsiveMachineDetector",
+          "cluster.Machine",
+          "cluster.Job",
+          "cluster.Attempt",
+          "cluster.Attempt$State",
+          "control.Leader",
+          "control.SchedulingLoop",
+          "control.Autoscaler",
+          "control.MachineReturner",
+          "peer.PeerMessage",
+          "peer.PeerAnswer",
+          "control.JobWatcher",
+          "control.TermStore",
+          "control.PagedRecords",
+          "control.PagedRecords$Batch",
+          "scheduling.FailedPlacements",
+          "fleet.Forecast",
+          "fleet.Forecast$Line",
+          "fleet.DisplacedTasks",
+          "scheduling.Cycle",
+          "scheduling.Plan",
+          "scheduling.Plan$Placement",
+          "scheduling.Plan$LimitedTasks",
+          "scheduling.Host",
+          "scheduling.PendingJob",
+          "scheduling.Team",
+          "scheduling.TeamUse",
+          "scheduling.TeamUse$Amounts",
+          "scheduling.Resources",
+          "scheduling.HostedTask",
+          "fleet.RentalPlan",
+          "fleet.MachineKind",
+          "wire.Report",
+          "wire.Command",
+          "wire.TaskId",
+          "wire.MachineType",
+          "admin.OperatorSettings",
+          "state.Txn",
+          "state.OpenCheck",
+          "state.SubmissionQueue",
+          "leadership.StoreLease");
+
   private static final long WHILE_MS = 1_500;
 
   @Override
@@ -69,53 +123,7 @@
 
   /** Classes that only a served controller would touch. */
   private static void loadAll() {
-    for (String name :
-        new String[] {
-          "cluster.Cluster",
-          "cluster.Cluster$CommandBatch",
-          "cluster.CommandDispatcher",
-          "cluster.Views",
-          "cluster.JobTable",
-          "cluster.MachineTable",
-          "cluster.RunTimes",
-          "cluster.MachineRegistry",
-          "cluster.UnresponsiveMachineDetector",
-          "cluster.Machine",
-          "cluster.Job",
-          "cluster.Attempt",
-          "cluster.Attempt$State",
-          "control.Leader",
-          "control.Autoscaler",
-          "control.MachineReturner",
-          "peer.PeerMessage",
-          "peer.PeerAnswer",
-          "control.JobWatcher",
-          "control.TermStore",
-          "control.PagedRecords",
-          "control.PagedRecords$Batch",
-          "scheduling.FailedPlacements",
-          "fleet.Forecast",
-          "fleet.Forecast$Line",
-          "fleet.DisplacedTasks",
-          "scheduling.Cycle",
-          "scheduling.Plan",
-          "scheduling.Host",
-          "scheduling.PendingJob",
-          "scheduling.Team",
-          "scheduling.Resources",
-          "scheduling.HostedTask",
-          "fleet.RentalPlan",
-          "fleet.MachineKind",
-          "wire.Report",
-          "wire.Command",
-          "wire.TaskId",
-          "wire.MachineType",
-          "admin.OperatorSettings",
-          "state.Txn",
-          "state.OpenCheck",
-          "state.SubmissionQueue",
-          "leadership.StoreLease"
-        }) {
+    for (String name : LEADER_CLASSES) {
       try {
         Class.forName("org.saffronshore." + name);
       } catch (ClassNotFoundException e) {
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.Arrivals;
@@ -333,16 +334,21 @@
 
   // Placements
 
-  public void place(TaskId task, String machineId) {
-    place(task, machineId, false);
+  /** Starts an attempt at a task on a machine, if both are still free for that. */
+  public Optional<Attempt> place(TaskId task, String machineId) {
+    return place(task, machineId, false);
   }
 
-  /** Starts an attempt at a task on a machine, if both are still free for that. */
-  public void place(TaskId task, String machineId, boolean overdue) {
+  /**
+   * Starts an attempt at a task on a machine, if both are still free for that.
+   *
+   * @param overdue whether the task is not to be stopped for others
+   */
+  public Optional<Attempt> place(TaskId task, String machineId, boolean overdue) {
     Machine m = machines.get(machineId);
     Job job = jobs.get(task.job());
     if (m == null || job == null || !job.waiting.get(task.index()) || !m.usable(loop.now())) {
-      return;
+      return Optional.empty();
     }
     Attempt a = new Attempt(task, (term << TERM_SHIFT) + ++lastAttempt, m, job.spec, loop.now());
     a.overdue = overdue;
@@ -357,6 +363,7 @@
       job.requestLaunchMark(task.index());
       jobs.awaitingLaunchMark().add(job);
     }
+    return Optional.of(a);
   }
 
   /** Stops a task, with time to save its progress where it can. */
@@ -371,7 +378,7 @@
 
   void stop(Attempt a, double graceS, String why) {
     if (!a.stopping) {
-      LOG.debug("stopping task {} on {}: {}", a.task, a.machine.id, why);
+      LOG.debug("stopping task {} on {}: {}; attempt={}", a.task, a.machine.id, why, a.number);
     } else if (graceS >= a.graceS) {
       return;
     }
@@ -426,10 +433,6 @@
 
   // Commands
 
-  /** A direct call that is ready to go, with the launches in it. */
-  public record CommandBatch(
-      Machine machine, long session, List<Command> commands, List<Attempt> launches) {}
-
   /** What to send to a machine now, or null. */
   public CommandBatch call(Machine m) {
     return dispatcher.call(m);
--- a/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
@@ -71,7 +71,7 @@
   }
 
   /** What to send to a machine now, or null. */
-  Cluster.CommandBatch call(Machine m) {
+  CommandBatch call(Machine m) {
     double now = loop.now();
     // One that has not found this leader yet is asked where it is: tasks of older jobs wait for
     // what it holds.
@@ -96,11 +96,11 @@
     m.commandInFlight = true;
     // A wrong guess of the session is harmless: nothing is executed, and the refusal tells the
     // right one.
-    return new Cluster.CommandBatch(m, Math.max(1, m.session), commands, launches);
+    return new CommandBatch(m, Math.max(1, m.session), commands, launches);
   }
 
   /** What became of a batch: 200, 409, not sent, or anything else, which may yet be carried out. */
-  void called(Cluster.CommandBatch batch, boolean executed, boolean surelyNot, Report report) {
+  void called(CommandBatch batch, boolean executed, boolean surelyNot, Report report) {
     Machine m = batch.machine();
     m.commandInFlight = false;
     m.changed();
--- a/src/main/java/org/saffronshore/cluster/MachineTable.java
+++ b/src/main/java/org/saffronshore/cluster/MachineTable.java
@@ -82,6 +82,11 @@
     m.registryWriteInFlight = true;
     m.held = held;
     m.knownSince = Math.min(m.knownSince, loop.now() - Math.max(0, ageS));
+    LOG.debug(
+        "machine {} is registered since {} s, and holds at most: {}",
+        id,
+        Math.round(ageS),
+        held == null ? "anything" : held);
     if (!m.confirmed) {
       m.answeredAt = Math.max(m.answeredAt, cluster.startedAt());
       unconfirmed.add(m);
@@ -156,7 +161,7 @@
 
   /** The machine does not exist any more, and nothing on it. */
   void removed(Machine m, String why) {
-    LOG.debug("machine {} is gone: {}; it held {} tasks", m.id, why, m.attempts.size());
+    LOG.debug("machine {} is gone: {}; it held {}", m.id, why, m.attempts.keySet());
     release(m);
     machines.remove(m.id);
     removed.put(m.id, loop.now());
@@ -193,9 +198,9 @@
                   + Settings.longestLocalTime(settings.leaseS())
                   + settings.reportS() / 30) {
         LOG.debug(
-            "machine {} counts as lost: nothing heard, and its lease is over; it held {} tasks",
+            "machine {} counts as lost: nothing heard, and its lease is over; it held {}",
             m.id,
-            m.attempts.size());
+            m.attempts.keySet());
         m.deadSession = Math.max(m.deadSession, m.session);
         m.up = false;
         release(m);
--- a/src/main/java/org/saffronshore/cluster/Reports.java
+++ b/src/main/java/org/saffronshore/cluster/Reports.java
@@ -112,6 +112,13 @@
       cluster.drain(m, r.noticeS());
     }
     if (confirmedNow) {
+      LOG.debug(
+          "machine {} is accounted for: token={} session={} sequence={} tasks={}",
+          m.id,
+          r.token(),
+          r.session(),
+          r.seq(),
+          r.tasks());
       m.confirmed = true;
       cluster.unconfirmed().remove(m);
       cluster.changed();
@@ -128,7 +135,11 @@
   private void beginSession(Machine m, long session) {
     double now = loop.now();
     if (m.session > 0 && !m.attempts.isEmpty()) {
-      LOG.debug("machine {} began session {}: what it held is gone", m.id, session);
+      LOG.debug(
+          "machine {} began session {}: what it held is gone: {}",
+          m.id,
+          session,
+          m.attempts.keySet());
     }
     m.allAttempts().forEach(cluster::endAttempt);
     m.exited.clear();
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -254,6 +254,9 @@
         Team team = a.job == null ? null : teams.get(a.job.team());
         if (team != null) {
           team.use(a.job, tuning);
+          if (a.state == Attempt.State.RUNNING || a.state == Attempt.State.SAVING) {
+            team.addRunning(a.job);
+          }
         }
       }
       if (!named) {
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -4,10 +4,10 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
-import java.util.random.RandomGenerator;
-import org.saffronshore.admin.Metrics;
+import java.util.TreeMap;
 import org.saffronshore.admin.OperatorSettings;
 import org.saffronshore.cluster.Cluster;
+import org.saffronshore.cluster.CommandBatch;
 import org.saffronshore.cluster.Job;
 import org.saffronshore.cluster.Machine;
 import org.saffronshore.config.Settings;
@@ -15,7 +15,6 @@
 import org.saffronshore.http.Loop;
 import org.saffronshore.leadership.Leadership;
 import org.saffronshore.peer.Progress;
-import org.saffronshore.scheduling.Cycle;
 import org.saffronshore.scheduling.Plan;
 import org.saffronshore.state.Keys;
 import org.saffronshore.state.StateClient;
@@ -34,18 +33,15 @@
 final class Leader {
   private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
 
-  /** Cycles that follow a change may take this share of the time: the rest is for reports. */
-  private static final double CYCLE_SHARE = 0.15;
-
   private final Loop loop;
   private final Settings settings;
   private final StateClient state;
   private final Client client;
   private final Leadership leadership;
-  private final Metrics metrics;
-  private final RandomGenerator random;
+  private final TeamMetrics teamMetrics;
   private final PeerLink peers;
   private final Autoscaler fleet;
+  private final SchedulingLoop scheduling;
   private final Cluster cluster;
   private final JobWatcher jobWatcher;
   private final TermStore termStore;
@@ -59,13 +55,11 @@
   private int commandsInFlight;
 
   private final int maxCommandsInFlight;
-  private boolean cyclePlanned;
   private final CancellationFreshness cancellations;
   private final double startedAt;
   private double noStoreLeaseAt = Double.NEGATIVE_INFINITY;
   private double awakeAt;
   private double refusedSince = Double.POSITIVE_INFINITY;
-  private double lastCycleS;
   private OperatorSettings operator = OperatorSettings.START;
 
   Leader(Node node, long term, long keyVersion) {
@@ -74,8 +68,7 @@
     this.state = node.state();
     this.client = node.client();
     this.leadership = node.leadership();
-    this.metrics = node.metrics();
-    this.random = node.random();
+    this.teamMetrics = node.teamMetrics();
     this.peers = node.peers();
     this.term = term;
     this.startedAt = loop.now();
@@ -87,6 +80,7 @@
     this.termStore = new TermStore(node, this, cluster);
     this.dependencyResolver = new DependencyResolver(node, this, cluster, termStore);
     this.fleet = new Autoscaler(node, this, cluster, term);
+    this.scheduling = new SchedulingLoop(node, this, cluster);
   }
 
   Cluster cluster() {
@@ -121,6 +115,7 @@
 
   void end() {
     ended = true;
+    teamMetrics.clear();
   }
 
   void start() {
@@ -140,7 +135,7 @@
    * than several times in a report interval. To be called before anything is made of what was not
    * heard.
    */
-  private void awake() {
+  void awake() {
     double now = loop.now();
     if (now - awakeAt > settings.reportS() / 3) {
       LOG.info("term {}: stood still for {} s", term, Math.round(10 * (now - awakeAt)) / 10.0);
@@ -179,7 +174,7 @@
             return;
           }
           try {
-            cycle(true);
+            scheduling.cycle(true);
             if (isActive() && loaded) {
               LOG.info("term {}: {}", term, cluster.views().summary());
             }
@@ -215,11 +210,25 @@
               term,
               jobs.entries().size(),
               cluster.unconfirmedCount());
+          LOG.debug(
+              "term {}: read from the state service: asked_s_ago={} leader_key_revision={}"
+                  + " revisions={}",
+              term,
+              loop.now() - askedAt,
+              leadership.keyVersion(),
+              revisions(read));
           jobWatcher.watch(jobs.revision());
-          planCycle();
+          scheduling.plan();
         });
   }
 
+  /** At which revision each prefix was read, by its name. */
+  private static Map<String, Long> revisions(Map<String, StateClient.Listing> read) {
+    Map<String, Long> revisions = new TreeMap<>();
+    read.forEach((prefix, listing) -> revisions.put(prefix, listing.revision()));
+    return revisions;
+  }
+
   /** All that was cancelled up to some moment is known here; see {@link CancellationFreshness}. */
   private void cancellationsKnown() {
     leadership.allowRenewalsUntil(cancellations.renewalsAllowedUntil());
@@ -319,7 +328,7 @@
     termStore.saveFinished();
     sendCommands();
     if (cluster.takeChanged()) {
-      planCycle();
+      scheduling.plan();
     }
   }
 
@@ -377,51 +386,17 @@
     return !leadership.holdsStoreLease() && now > refusedSince + settings.reportS() / 4;
   }
 
-  private void planCycle() {
-    if (!cyclePlanned) {
-      cyclePlanned = true;
-      loop.after(
-          Math.max(settings.reportS() / 100, lastCycleS / CYCLE_SHARE),
-          () -> {
-            cyclePlanned = false;
-            cycle(false);
-          });
-    }
-  }
-
-  private void cycle(boolean evict) {
-    awake();
-    if (!isActive() || !loaded || cluster.types().isEmpty()) {
-      return;
-    }
-    double began = loop.now();
-    cluster.takeChanged();
-    Plan plan =
-        Cycle.run(
-            cluster.views().hosts(),
-            cluster.views().pending(leadership.holdsStoreLease()),
-            cluster.views().teams(operator.tuning(), operator.teamWeights()),
-            operator.tuning(),
-            evict,
-            random,
-            began);
-    for (Plan.Placement p : plan.placements()) {
-      LOG.debug("placing task {} on {}", p.task(), p.host());
-      cluster.place(p.task(), p.host(), p.overdue());
-    }
-    for (Plan.Stop s : plan.stops()) {
-      cluster.stop(s.task(), s.host(), s.why());
-    }
-    metrics.add(Metrics.Count.CYCLES, 1);
-    metrics.add(Metrics.Count.PLACED, plan.placements().size());
-    metrics.add(Metrics.Count.STOPPED, plan.stops().size());
-    lastCycleS = loop.now() - began;
-    metrics.took(Metrics.Latency.CYCLE, lastCycleS);
+  /** What a cycle has placed and stopped goes out; what found no room is a matter of the fleet. */
+  void cycled(Plan plan) {
     termStore.saveLaunchMarks();
     sendCommands();
     fleet.wanted(plan.unmet());
   }
 
+  OperatorSettings operator() {
+    return operator;
+  }
+
   private void sendCommands() {
     // Looked at before each call: whoever stood still a moment ago may not act any more.
     while (commandsInFlight < maxCommandsInFlight && isActive()) {
@@ -429,7 +404,7 @@
       if (m == null) {
         return;
       }
-      Cluster.CommandBatch call = cluster.call(m);
+      CommandBatch call = cluster.call(m);
       if (call != null) {
         commandsInFlight++;
         send(call);
@@ -437,9 +412,14 @@
     }
   }
 
-  private void send(Cluster.CommandBatch call) {
+  private void send(CommandBatch call) {
     ObjectNode body = answer(call.commands()).put("Shift", call.session());
-    LOG.debug("telling machine {}: {}", call.machine().id(), call.commands());
+    LOG.debug(
+        "telling machine {}: {} token={} session={}",
+        call.machine().id(),
+        call.commands(),
+        term,
+        call.session());
     // What only asks where a machine is must not stand in the way of launches when many do not
     // answer.
     double patience = settings.reportS() * (call.commands().isEmpty() ? 1 : 4) / 3;
--- a/src/main/java/org/saffronshore/control/Node.java
+++ b/src/main/java/org/saffronshore/control/Node.java
@@ -42,6 +42,7 @@
   private final Client client;
   private final RandomGenerator random;
   private final Metrics metrics = new Metrics();
+  private final TeamMetrics teamMetrics;
   private final StateClient state;
   private final JobStore store;
   private final CloudClient cloud;
@@ -93,6 +94,7 @@
                 Admission.Rank.SUBMISSION,
                 queued));
     this.redirects = new Redirects(loop, settings.reportS());
+    this.teamMetrics = new TeamMetrics(metrics, settings.teams().keySet());
     metrics.gauge("leading", () -> leadership.isActive() ? 1 : 0);
     metrics.gauge("term", leadership::term);
     metrics.gauge("machines", () -> leader == null ? 0 : leader.cluster().machines().size());
@@ -122,6 +124,10 @@
     return metrics;
   }
 
+  TeamMetrics teamMetrics() {
+    return teamMetrics;
+  }
+
   PeerLink peers() {
     return peers;
   }
--- a/src/main/java/org/saffronshore/control/TermStore.java
+++ b/src/main/java/org/saffronshore/control/TermStore.java
@@ -444,7 +444,8 @@
       ObjectNode entry = entry();
       ArrayNode held = entry.putArray("Held");
       m.attempts().forEach(a -> held.add(a.task().toString()));
-      registry.replace(m.id(), entry);
+      boolean replaced = registry.replace(m.id(), entry);
+      LOG.debug("writing down that machine {} holds at most {}: {}", m.id(), held, replaced);
     }
     // Entries that are being moved are entered nowhere else meanwhile.
     boolean splitting = registry.splitting();
--- a/src/main/java/org/saffronshore/control/UserApi.java
+++ b/src/main/java/org/saffronshore/control/UserApi.java
@@ -182,6 +182,7 @@
   }
 
   private void respond(String id, Status status, int accepted, Reply reply) {
+    LOG.debug("answering a user: job={} state={}", id, status);
     ObjectNode o = Json.object().put("Uid", id);
     switch (status) {
       case OPEN -> {
--- a/src/main/java/org/saffronshore/leadership/Leadership.java
+++ b/src/main/java/org/saffronshore/leadership/Leadership.java
@@ -398,7 +398,11 @@
           renewalsAllowedUntil = Double.NEGATIVE_INFINITY;
           leaseGrants.clearHeld();
           LOG.info(
-              "{} leads term {}: the leader's key was free; lease {}", settings.node(), term, mine);
+              "{} leads term {}: the leader's key was free; lease {}; leader_key_revision={}",
+              settings.node(),
+              term,
+              mine,
+              keyVersion);
           listener.elected(term, keyVersion);
         });
   }
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -38,6 +38,7 @@
   private final Map<String, List<Entry>> queues = new LinkedHashMap<>();
   private final List<Plan.Placement> placements = new ArrayList<>();
   private final List<Plan.Stop> stops = new ArrayList<>();
+  private final List<Plan.LimitedTasks> limited = new ArrayList<>();
   private final Map<PendingJob, Integer> unmet = new LinkedHashMap<>();
   private final double now;
   private final FailedPlacements failures = new FailedPlacements();
@@ -67,7 +68,7 @@
     cycle.fill();
     List<Plan.UnplacedTasks> left = new ArrayList<>();
     cycle.unmet.forEach((p, n) -> left.add(new Plan.UnplacedTasks(p.job, n)));
-    return new Plan(cycle.placements, cycle.stops, left);
+    return new Plan(cycle.placements, cycle.stops, left, cycle.limited);
   }
 
   private void queue(Collection<PendingJob> jobs) {
@@ -200,6 +201,8 @@
     }
     PendingJob pending = entry.pending;
     if (!team.withinLimit(job)) {
+      limited.add(
+          new Plan.LimitedTasks(job, pending.left(), team.withinLimitOfKnown(job), team.use()));
       return true;
     }
     TaskId task = new TaskId(job.id(), pending.next());
@@ -216,12 +219,13 @@
     }
     boolean overdue = pending.isOverdue();
     pending.entered(host.kind.zone());
+    TeamUse counted = team.use();
     team.use(job, tuning);
     failures.teamsChanged();
     host.enter(job);
     if (host.free.fits(job)) {
       host.free.take(job);
-      placements.add(new Plan.Placement(task, host.id, overdue));
+      placements.add(new Plan.Placement(task, host.id, overdue, counted));
     }
     return pending.isEmpty();
   }
--- a/src/main/java/org/saffronshore/scheduling/Plan.java
+++ b/src/main/java/org/saffronshore/scheduling/Plan.java
@@ -5,12 +5,19 @@
 import org.saffronshore.wire.TaskId;
 
 /** What a cycle decided. */
-public record Plan(List<Placement> placements, List<Stop> stops, List<UnplacedTasks> unmet) {
+public record Plan(
+    List<Placement> placements,
+    List<Stop> stops,
+    List<UnplacedTasks> unmet,
+    List<LimitedTasks> limited) {
 
   /**
-   * {@code overdue}: the task was placed before all others since its job had waited for very long.
+   * A task that is to be started.
+   *
+   * @param overdue whether it was placed before all others since its job had waited for very long
+   * @param counted what counted against its team's limit before
    */
-  public record Placement(TaskId task, String host, boolean overdue) {}
+  public record Placement(TaskId task, String host, boolean overdue, TeamUse counted) {}
 
   /** A task that is to be stopped, and the reason for the log. */
   public record Stop(TaskId task, String host, String why) {}
@@ -20,4 +27,12 @@
    * queue.
    */
   public record UnplacedTasks(JobSpec job, int tasks) {}
+
+  /**
+   * Tasks of a job that the team's limit holds back.
+   *
+   * @param unaccounted whether only by what may be on machines that are not accounted for
+   * @param counted what counted against the limit then
+   */
+  public record LimitedTasks(JobSpec job, int tasks, boolean unaccounted, TeamUse counted) {}
 }
--- a/src/main/java/org/saffronshore/scheduling/Team.java
+++ b/src/main/java/org/saffronshore/scheduling/Team.java
@@ -13,9 +13,15 @@
   double cost;
 
   /** What is on machines, evicted tasks included: they are there until they are proven gone. */
-  private double heldCpus;
+  private final Resources launched = new Resources(0, 0, 0);
 
-  private double heldGpus;
+  /** The part of it that runs or is saving. */
+  private final Resources running = new Resources(0, 0, 0);
+
+  /** What may be on machines not accounted for, of open jobs and of jobs that are over. */
+  private final Resources possible = new Resources(0, 0, 0);
+
+  private final Resources possiblyHeld = new Resources(0, 0, 0);
 
   public Team(Settings.Team rights, double weight) {
     this.rights = rights;
@@ -25,8 +31,12 @@
   /** Counts a task that is on a machine, or is being put there. */
   public void use(JobSpec job, SchedulingSettings tuning) {
     share(job, tuning, 1);
-    heldCpus += job.cpus();
-    heldGpus += job.gpus();
+    launched.give(job);
+  }
+
+  /** Notes that a task which is counted already runs or is saving. */
+  public void addRunning(JobSpec job) {
+    running.give(job);
   }
 
   /**
@@ -43,8 +53,7 @@
   public void addPossible(double maybeCpus, double maybeGpus) {
     cpus += maybeCpus;
     gpus += maybeGpus;
-    heldCpus += maybeCpus;
-    heldGpus += maybeGpus;
+    possible.give(new Resources(maybeCpus, maybeGpus, 0));
   }
 
   /**
@@ -52,20 +61,41 @@
    * any more.
    */
   public void addPossiblyHeld(double moreCpus, double moreGpus) {
-    heldCpus += moreCpus;
-    heldGpus += moreGpus;
+    possiblyHeld.give(new Resources(moreCpus, moreGpus, 0));
+  }
+
+  /** What counts against the limit now. */
+  public TeamUse use() {
+    return new TeamUse(
+        rights.name(),
+        new TeamUse.Amounts(
+            running.cpus, launched.cpus, possible.cpus, possiblyHeld.cpus, rights.cpusMax()),
+        new TeamUse.Amounts(
+            running.gpus, launched.gpus, possible.gpus, possiblyHeld.gpus, rights.gpusMax()));
   }
 
   boolean withinLimit(JobSpec job) {
-    return (rights.cpusMax() <= 0 || heldCpus + job.cpus() <= rights.cpusMax() + EPSILON)
-        && (rights.gpusMax() <= 0 || heldGpus + job.gpus() <= rights.gpusMax() + EPSILON);
+    double cpusAfter = countedCpus() + job.cpus();
+    double gpusAfter = launched.gpus + possible.gpus + possiblyHeld.gpus + job.gpus();
+    return (rights.cpusMax() <= 0 || cpusAfter <= rights.cpusMax() + EPSILON)
+        && (rights.gpusMax() <= 0 || gpusAfter <= rights.gpusMax() + EPSILON);
+  }
+
+  /** Whether the limit would let the task in if all machines were accounted for. */
+  boolean withinLimitOfKnown(JobSpec job) {
+    return (rights.cpusMax() <= 0 || launched.cpus + job.cpus() <= rights.cpusMax() + EPSILON)
+        && (rights.gpusMax() <= 0 || launched.gpus + job.gpus() <= rights.gpusMax() + EPSILON);
+  }
+
+  private double countedCpus() {
+    return launched.cpus + possible.cpus + possiblyHeld.cpus;
   }
 
   /** How many more of such tasks the limit lets in. */
   int tasksWithinLimit(JobSpec job, int most) {
     return rights.cpusMax() <= 0 || job.cpus() <= 0
         ? most
-        : (int) Math.min(most, (rights.cpusMax() - heldCpus) / job.cpus() + EPSILON);
+        : (int) Math.min(most, (rights.cpusMax() - countedCpus()) / job.cpus() + EPSILON);
   }
 
   boolean withinGuarantee(JobSpec job) {
--- /dev/null
+++ b/src/main/java/org/saffronshore/scheduling/TeamUse.java
@@ -0,0 +1,50 @@
+package org.saffronshore.scheduling;
+
+import java.util.Locale;
+
+/**
+ * What counts against a team's limit at one moment, as the leader knows it.
+ *
+ * @param team the team's name
+ * @param cpus its CPUs
+ * @param gpus its GPUs
+ */
+public record TeamUse(String team, Amounts cpus, Amounts gpus) {
+
+  /**
+   * Amounts of one resource.
+   *
+   * @param running of tasks that run or are saving
+   * @param launched of all tasks that are on machines, on their way there, or placed in this cycle
+   * @param possible of open jobs' tasks that may be on machines not accounted for
+   * @param possiblyHeld of tasks on such machines that nobody can name
+   * @param limit the most that the team may use; 0 for no limit
+   */
+  public record Amounts(
+      double running, double launched, double possible, double possiblyHeld, double limit) {
+    /** All that is compared with the limit. */
+    public double counted() {
+      return launched + possible + possiblyHeld;
+    }
+  }
+
+  /** The fields of the log lines; their names do not change. GPUs only where there are any. */
+  @Override
+  public String toString() {
+    String text = "team=" + team + fields("cpus", cpus);
+    return gpus.limit() > 0 || gpus.counted() > 0 ? text + fields("gpus", gpus) : text;
+  }
+
+  private static String fields(String resource, Amounts a) {
+    return String.format(
+        Locale.ROOT,
+        " running_%1$s=%2$.1f launched_%1$s=%3$.1f possible_%1$s=%4$.1f"
+            + " possibly_held_%1$s=%5$.1f limit_%1$s=%6$.1f",
+        resource,
+        a.running(),
+        a.launched(),
+        a.possible(),
+        a.possiblyHeld(),
+        a.limit());
+  }
+}
--- a/src/test/java/org/saffronshore/cluster/AttemptEndTest.java
+++ b/src/test/java/org/saffronshore/cluster/AttemptEndTest.java
@@ -29,7 +29,7 @@
   void aSilentMachineHoldsItsTasksForItsLease() {
     job(101);
     Machine m = up("host-1");
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     cluster.called(
         call,
         true,
@@ -60,7 +60,7 @@
   void directAnswersRenewNoLease() {
     job(101);
     Machine m = up("host-1");
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     loop.pass(Samples.LEASE_S - 1);
     cluster.called(
         call,
@@ -81,7 +81,7 @@
   void olderReportsChangeNothing() {
     job(101);
     Machine m = up("host-1");
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     long attempt = call.launches().get(0).number();
     cluster.called(
         call,
@@ -127,7 +127,7 @@
   void onlyDoneIsDone(Why why) {
     job(101);
     Machine m = up("host-1");
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     cluster.called(
         call,
         true,
--- a/src/test/java/org/saffronshore/cluster/ClusterTestBase.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTestBase.java
@@ -51,7 +51,7 @@
     return !cluster.views().pending(true).isEmpty();
   }
 
-  Cluster.CommandBatch launch(Machine m) {
+  CommandBatch launch(Machine m) {
     cluster.place(TASK, m.id());
     return cluster.call(m);
   }
--- a/src/test/java/org/saffronshore/cluster/LateReportTest.java
+++ b/src/test/java/org/saffronshore/cluster/LateReportTest.java
@@ -83,7 +83,7 @@
   void aLateOriginalMayRenewTheLease() {
     Machine m = up("host-1");
     job(101);
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     loop.pass(Samples.LEASE_S - 1);
     Report.Task running = task("wk-1", 0, call.launches().get(0).number(), State.RUNNING, Why.NONE);
     cluster.called(call, true, false, report("host-1", 1, 60, TERM, running));
--- a/src/test/java/org/saffronshore/cluster/LaunchTest.java
+++ b/src/test/java/org/saffronshore/cluster/LaunchTest.java
@@ -27,7 +27,7 @@
   void aLaunchThatMayArriveHoldsItsTask(boolean executed, boolean surelyNot, boolean placeable) {
     job(101);
     Machine m = up("host-1");
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     assertEquals(List.of(Command.Op.START), ops(call.commands()));
     Report answer =
         executed
@@ -70,7 +70,7 @@
   void aLostLaunchIsEndedByRepeatingIt() {
     job(101);
     Machine m = up("host-1");
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     cluster.called(call, false, false, null);
     cluster.removeJob("wk-1");
     loop.pass(5);
@@ -81,7 +81,7 @@
   void anAttemptIsNotForgottenWhileItsLaunchMayArrive() {
     job(101);
     Machine m = up("host-1");
-    Cluster.CommandBatch call = launch(m);
+    CommandBatch call = launch(m);
     cluster.called(call, false, false, null);
     Report.Task ended = task("wk-1", 0, call.launches().get(0).number(), State.EXITED, Why.ERROR);
     cluster.reported(report("host-1", 1, 50, TERM, ended));
--- a/src/test/java/org/saffronshore/cluster/TakeoverTest.java
+++ b/src/test/java/org/saffronshore/cluster/TakeoverTest.java
@@ -58,12 +58,12 @@
     assertNull(cluster.call(m), "nobody knows where it is");
     cluster.listed("host-1", "10.1.0.1:9000", "big", "a", true, false, 90);
     assertEquals(m, cluster.nextMachineWithCommands());
-    Cluster.CommandBatch guess = cluster.call(m);
+    CommandBatch guess = cluster.call(m);
     assertEquals(1, guess.session());
     assertTrue(guess.commands().isEmpty());
     cluster.called(guess, false, true, report("host-1", 3, ++seq, TERM - 1));
     assertFalse(placeable(), "an order of the last leader may still arrive there");
-    Cluster.CommandBatch right = cluster.call(m);
+    CommandBatch right = cluster.call(m);
     assertEquals(3, right.session());
     cluster.called(right, true, false, report("host-1", 3, ++seq, TERM));
     assertTrue(placeable());
--- a/src/test/java/org/saffronshore/cluster/UnresponsiveMachineTest.java
+++ b/src/test/java/org/saffronshore/cluster/UnresponsiveMachineTest.java
@@ -16,8 +16,8 @@
 
 /** Machines whose reports come, and that receive nothing of what they are sent. */
 class UnresponsiveMachineTest extends ClusterTestBase {
-  private Cluster.CommandBatch lostLaunch(Machine m) {
-    Cluster.CommandBatch call = launch(m);
+  private CommandBatch lostLaunch(Machine m) {
+    CommandBatch call = launch(m);
     cluster.called(call, false, false, null);
     return call;
   }
@@ -39,7 +39,7 @@
     job(101);
     long session = 1;
     if (what.startsWith("launch")) {
-      Cluster.CommandBatch call = lostLaunch(m);
+      CommandBatch call = lostLaunch(m);
       if (what.endsWith("is seen")) {
         cluster.reported(
             report(
@@ -62,7 +62,7 @@
       cluster.unresponsiveMachines().detect();
       if (what.endsWith("is answered")) {
         cluster.called(
-            new Cluster.CommandBatch(m, 2, List.of(), List.of()),
+            new CommandBatch(m, 2, List.of(), List.of()),
             true,
             false,
             report("host-1", 2, ++seq, TERM));
@@ -83,7 +83,7 @@
     job(101);
     Machine m = up("host-1");
     Machine other = up("host-2");
-    Cluster.CommandBatch call = launch(other);
+    CommandBatch call = launch(other);
     cluster.called(call, false, false, null);
     loop.standStill(10);
     if (noticed) {
--- a/src/test/java/org/saffronshore/scheduling/PlainCycle.java
+++ b/src/test/java/org/saffronshore/scheduling/PlainCycle.java
@@ -33,6 +33,7 @@
   private final Map<String, List<Entry>> queues = new LinkedHashMap<>();
   private final List<Plan.Placement> placements = new ArrayList<>();
   private final List<Plan.Stop> stops = new ArrayList<>();
+  private final List<Plan.LimitedTasks> limited = new ArrayList<>();
   private final double now;
   private final Map<PendingJob, Integer> unmet = new LinkedHashMap<>();
 
@@ -61,7 +62,7 @@
     cycle.fill();
     List<Plan.UnplacedTasks> left = new ArrayList<>();
     cycle.unmet.forEach((p, n) -> left.add(new Plan.UnplacedTasks(p.job, n)));
-    return new Plan(cycle.placements, cycle.stops, left);
+    return new Plan(cycle.placements, cycle.stops, left, cycle.limited);
   }
 
   private void queue(Collection<PendingJob> jobs) {
@@ -184,6 +185,8 @@
     }
     PendingJob pending = entry.pending;
     if (!team.withinLimit(job)) {
+      limited.add(
+          new Plan.LimitedTasks(job, pending.left(), team.withinLimitOfKnown(job), team.use()));
       return true;
     }
     TaskId task = new TaskId(job.id(), pending.next());
@@ -196,11 +199,12 @@
       return true;
     }
     pending.entered(host.kind.zone());
+    TeamUse counted = team.use();
     team.use(job, tuning);
     host.enter(job);
     if (host.free.fits(job)) {
       host.free.take(job);
-      placements.add(new Plan.Placement(task, host.id, false));
+      placements.add(new Plan.Placement(task, host.id, false, counted));
     }
     return pending.isEmpty();
   }
