--- a/src/test/java/org/saffronshore/cluster/TakeoverTest.java
+++ b/src/test/java/org/saffronshore/cluster/TakeoverTest.java
@@ -246,4 +246,32 @@
         placed,
         plan(teams()).placements().stream().filter(p -> p.task().job().equals("wk-2")).count());
   }
+
+  /**
+   * Cancelled while a machine that holds a task of it is unaccounted for, a job is over and its
+   * task may run on: beside the tasks of open jobs on other machines, and not instead of them.
+   */
+  @ParameterizedTest
+  @CsvSource({"'', 0", "host-1, 0", "host-2, 1"})
+  void countsWhatIsCancelledDuringTheTakeoverBesideWhatIsNot(String accountedFor, int placed) {
+    cluster.addRegistered("host-1", 0, Set.of(new TaskId("wk-1", 0)));
+    cluster.addRegistered("host-2", 0, Set.of(new TaskId("wk-2", 0)));
+    cluster.listed("host-1", null, "big", "a", true, false, 90);
+    cluster.listed("host-2", null, "big", "a", true, false, 90);
+    for (String id : List.of("wk-1", "wk-2")) {
+      cluster.addJob(Samples.job(id, "red", Priority.STANDARD, 1, 30), 1, 0, new BitSet(), 1);
+    }
+    cluster.addJob(
+        Samples.job("wk-3", "red", Priority.STANDARD, 1, 8), KEY + 1, 0, new BitSet(), 1);
+    up("host-3");
+    assertEquals("", placed(plan(teams())), "two tasks of 30 CPUs, and 8 more, are beyond 64");
+    cluster.removeJob("wk-2");
+    if (accountedFor.equals("host-1")) {
+      cluster.reported(
+          report("host-1", 1, ++seq, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)));
+    } else if (accountedFor.equals("host-2")) {
+      cluster.reported(report("host-2", 1, ++seq, TERM));
+    }
+    assertEquals(placed, plan(teams()).placements().size());
+  }
 }
--- a/src/test/java/org/saffronshore/control/RandomFaultsTest.java
+++ b/src/test/java/org/saffronshore/control/RandomFaultsTest.java
@@ -14,9 +14,13 @@
  * Random faults on three whole controllers: whatever happens, the rules hold and every job ends.
  */
 class RandomFaultsTest extends RuleCheckingSimulation {
-  /** A few, always the same; more are played with {@code -Dfaults.seeds=100}. */
+  /**
+   * A few, always the same; more are played with {@code -Dfaults.seeds=100}, and others than the
+   * first ones with {@code -Dfaults.first=101}.
+   */
   static IntStream seeds() {
-    return IntStream.rangeClosed(1, Integer.getInteger("faults.seeds", 4));
+    int first = Integer.getInteger("faults.first", 1);
+    return IntStream.range(first, first + Integer.getInteger("faults.seeds", 4));
   }
 
   /** Whatever meets whatever: the rules hold, and once all is over every job ends. */
@@ -50,6 +54,70 @@
         () -> starts.size() + " starts, of " + jobs.size() + " jobs");
   }
 
+  /**
+   * A team at its limit, and all controllers end twice within 15 s inside short outages while some
+   * machines do not answer, and users cancel in the middle of it.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void limitsHoldWhenLeadersChangeQuickly(int seed) {
+    chance.setSeed(seed);
+    runS = 2 * RUN_S;
+    runsVary = true;
+    for (int round = 0; round < 3; round++) {
+      submitUpTo(6);
+      pass(8);
+      for (FakeWorker worker : workers.values()) {
+        if (!worker.holds().isEmpty() && chance.nextInt(4) > 0) {
+          worker.hangsUntil = loop.now() + 10 + 20 * chance.nextDouble();
+        }
+      }
+      pass(3 + 6 * chance.nextDouble());
+      for (int restart = 0; restart < 2; restart++) {
+        restartAllInAnOutage();
+        pass(2 + 4 * chance.nextDouble());
+        cancelOneOnMachines();
+        submitUpTo(6);
+        pass(2 + 2 * chance.nextDouble());
+      }
+      pass(RUN_S);
+    }
+    heal();
+    everyJobEnds();
+    assertTrue(starts.size() > 10, () -> starts.size() + " starts");
+  }
+
+  /** All controllers end inside an outage of the state service, and are back at once. */
+  private void restartAllInAnOutage() {
+    double from = loop.now();
+    away(true, 0);
+    pass(chance.nextDouble());
+    List.of("n-0", "n-1", "n-2").forEach(name -> processes.get(name).dead = true);
+    pass(0.2 * chance.nextDouble());
+    List.of("n-0", "n-1", "n-2").forEach(this::life);
+    pass(chance.nextDouble());
+    away(false, loop.now() - from);
+  }
+
+  /** Users submit jobs of two tasks until so many are open. */
+  private void submitUpTo(int open) {
+    while (jobs.values().stream().filter(told -> told.end == null).count() < open) {
+      submit(processes.get("n-" + chance.nextInt(3)), job(2));
+    }
+    jobs.values().stream()
+        .filter(told -> !told.accepted)
+        .forEach(told -> submit(processes.get("n-" + chance.nextInt(3)), told.job));
+  }
+
+  /** A user cancels a job that has tasks on machines. */
+  private void cancelOneOnMachines() {
+    List<UserView> open =
+        jobs.values().stream().filter(told -> told.end == null && onMachines(told) > 0).toList();
+    if (!open.isEmpty()) {
+      cancel(anyNode(), open.get(chance.nextInt(open.size())));
+    }
+  }
+
   /** One fault more, or one less. */
   private void fault() {
     Process one = processes.get("n-" + chance.nextInt(3));
