What a team may be using is a sum over machines, in one place: cluster.TeamUsage

Cause: for a team, the count of what unaccounted machines may hold was the larger of what its open jobs may have launched and of the room of machines that may hold tasks nobody can name. Both can run beside each other. A job that was called off while a machine that is written down with a task of it was unaccounted for left the first number, and entered only the second: the count fell by tasks that still ran, and others were started in their place.

Change: each machine is counted by itself, and machines are added up. Tasks that are written down count for their teams, also when their job was called off during the term; done ones do not; where a task's team is not known, the room beside the known ones counts for every team; a machine that may hold anything counts for every team. The class states the invariant; Views.teams is its only user and what every cycle starts with.

--- a/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
+++ b/src/main/java/org/saffronshore/cli/CdsTrainingCommand.java
@@ -29,6 +29,7 @@
           "cluster.CommandBatch",
           "cluster.CommandDispatcher",
           "cluster.Views",
+          "cluster.TeamUsage",
           "cluster.JobTable",
           "cluster.MachineTable",
           "cluster.RunTimes",
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -194,6 +194,7 @@
     if (job == null) {
       return;
     }
+    unconfirmed().forEach(m -> m.jobEnded(job));
     for (Attempt a : new ArrayList<>(job.placed.values())) {
       stop(a, 0, "its job is over");
     }
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -1,6 +1,7 @@
 package org.saffronshore.cluster;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import org.saffronshore.config.Settings.Address;
 import org.saffronshore.fleet.MachineKind;
 import org.saffronshore.scheduling.Host;
+import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Report;
 import org.saffronshore.wire.TaskId;
 
@@ -81,6 +83,9 @@
   /** All that an earlier leader can have left on it, or null when that may be anything. */
   Set<TaskId> held;
 
+  /** What those among them take whose jobs were called off in this term. */
+  final Map<TaskId, JobSpec> heldOfEnded = new HashMap<>();
+
   boolean registryWriteInFlight;
   int consecutiveFailures;
   double suspendedUntil = Double.NEGATIVE_INFINITY;
@@ -260,6 +265,23 @@
     applied = null;
   }
 
+  /**
+   * A job is over. What an earlier leader may have left of it here may still run, but for tasks
+   * that are done.
+   */
+  void jobEnded(Job job) {
+    if (held == null) {
+      return;
+    }
+    String id = job.spec.id();
+    held.removeIf(task -> task.job().equals(id) && job.done.get(task.index()));
+    for (TaskId task : held) {
+      if (task.job().equals(id)) {
+        heldOfEnded.put(task, job.spec);
+      }
+    }
+  }
+
   List<Attempt> allAttempts() {
     return new ArrayList<>(attempts.values());
   }
--- a/src/main/java/org/saffronshore/cluster/MachineTable.java
+++ b/src/main/java/org/saffronshore/cluster/MachineTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -80,7 +81,7 @@
     m.registered = held == null;
     m.frozen = held != null;
     m.registryWriteInFlight = true;
-    m.held = held;
+    m.held = held == null ? null : new HashSet<>(held);
     m.knownSince = Math.min(m.knownSince, loop.now() - Math.max(0, ageS));
     LOG.debug(
         "machine {} is registered since {} s, and holds at most: {}",
--- a/src/main/java/org/saffronshore/cluster/Views.java
+++ b/src/main/java/org/saffronshore/cluster/Views.java
@@ -246,77 +246,10 @@
       teams.put(
           t.name(), new Team(t, weights.getOrDefault(t.name(), guarantee > 0 ? guarantee : 1.0)));
     }
-    Resources beside = new Resources(0, 0, 0);
-    for (Machine m : cluster.machines()) {
-      boolean named = true;
-      for (Attempt a : m.attempts.values()) {
-        named &= a.job != null;
-        Team team = a.job == null ? null : teams.get(a.job.team());
-        if (team != null) {
-          team.use(a.job, tuning);
-          if (a.state == Attempt.State.RUNNING || a.state == Attempt.State.SAVING) {
-            team.addRunning(a.job);
-          }
-        }
-      }
-      if (!named) {
-        beside.give(beside(m));
-      }
-    }
-    countUnseen(teams, beside);
+    TeamUsage.count(cluster, teams, tuning);
     return teams;
   }
 
-  /**
-   * What tasks of jobs that are over can take on a machine: no report says whose they are, or how
-   * large.
-   */
-  private Resources beside(Machine m) {
-    MachineType type = cluster.typeOf(m);
-    Resources room = type == null ? new Resources(0, 0, 0) : Resources.of(type);
-    m.attempts.values().stream().filter(a -> a.job != null).forEach(a -> room.take(a.job));
-    return room;
-  }
-
-  /**
-   * What machines that are not accounted for can hold. Open jobs of earlier terms can fill them as
-   * far as they were launched; the rest may be tasks of any team whose jobs were cancelled a moment
-   * ago, unless it is written down what a machine holds, and all of that is of open jobs.
-   */
-  private void countUnseen(Map<String, Team> teams, Resources beside) {
-    Resources all = new Resources(0, 0, 0);
-    Resources unnamed = new Resources(0, 0, 0);
-    for (Machine m : cluster.unconfirmed()) {
-      boolean named =
-          m.held != null && m.held.stream().allMatch(task -> cluster.job(task.job()) != null);
-      MachineType type = cluster.typeOf(m);
-      for (MachineType t : type != null ? List.of(type) : List.copyOf(cluster.types().values())) {
-        all.give(Resources.of(t));
-        if (!named) {
-          unnamed.give(Resources.of(t));
-        }
-      }
-    }
-    Map<String, Resources> launched = new HashMap<>();
-    for (Job job : cluster.jobs()) {
-      if (cluster.mayBeUnseen(job)) {
-        launched
-            .computeIfAbsent(job.spec.team(), t -> new Resources(0, 0, 0))
-            .give(job.spec, job.launchedBefore().cardinality());
-      }
-    }
-    teams.forEach(
-        (name, team) -> {
-          Resources open = launched.getOrDefault(name, new Resources(0, 0, 0));
-          double cpus = Math.min(all.cpus, open.cpus);
-          double gpus = Math.min(all.gpus, open.gpus);
-          team.addPossible(cpus, gpus);
-          team.addPossiblyHeld(
-              beside.cpus + Math.max(0, unnamed.cpus - cpus),
-              beside.gpus + Math.max(0, unnamed.gpus - gpus));
-        });
-  }
-
   /**
    * Whether everything on a machine saves its work, has run for a while and will run on, and may go
    * anywhere.
--- /dev/null
+++ b/src/test/java/org/saffronshore/cluster/TeamUsageTest.java
@@ -0,0 +1,118 @@
+package org.saffronshore.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.saffronshore.Samples.report;
+import static org.saffronshore.Samples.task;
+
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.saffronshore.Samples;
+import org.saffronshore.scheduling.TeamUse;
+import org.saffronshore.wire.Priority;
+import org.saffronshore.wire.Report.State;
+import org.saffronshore.wire.Report.Why;
+import org.saffronshore.wire.TaskId;
+
+/**
+ * What counts against a limit while machines are unaccounted for. Tasks take 4 CPUs, machines have
+ * 32; wk-1 and wk-2 of team red have two tasks each, of which the first of each was launched.
+ */
+class TeamUsageTest extends ClusterTestBase {
+  private static final double LIMIT_CPUS = 64;
+
+  private void registered(String id, String tasks) {
+    Set<TaskId> held = null;
+    if (!tasks.equals("anything")) {
+      held = new HashSet<>();
+      for (String name : tasks.split(" ")) {
+        held.add(new TaskId(name.substring(0, 4), Integer.parseInt(name.substring(5))));
+      }
+    }
+    cluster.addRegistered(id, 0, held);
+    cluster.listed(id, null, "big", "a", true, false, 90);
+  }
+
+  private TeamUse.Amounts counted() {
+    return teams().get("red").use().cpus();
+  }
+
+  private void apply(String event) {
+    switch (event) {
+      case "wk-1 is called off" -> cluster.removeJob("wk-1");
+      case "wk-1 is done" -> {
+        for (int i = 0; i < 2; i++) {
+          cluster.reported(
+              report("host-3", 1, ++seq, TERM, task("wk-1", i, 7, State.EXITED, Why.DONE)));
+        }
+        cluster.removeJob("wk-1");
+      }
+      case "wk-1/0 is done" ->
+          cluster.reported(
+              report("host-3", 1, ++seq, TERM, task("wk-1", 0, 7, State.EXITED, Why.DONE)));
+      case "host-1 shows wk-1/0" ->
+          cluster.reported(
+              report("host-1", 1, ++seq, TERM, task("wk-1", 0, 7, State.RUNNING, Why.NONE)));
+      case "an old report of host-3 shows wk-1/0" ->
+          cluster.reported(
+              report("host-3", 1, ++seq, TERM - 1, task("wk-1", 0, 6, State.RUNNING, Why.NONE)));
+      case "host-3 holds nothing" -> cluster.reported(report("host-3", 1, ++seq, TERM));
+      default -> assertEquals("nothing", event);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "wk-1/0, wk-2/0, nothing, 0, 8, 0",
+    "wk-1/0, wk-2/0, wk-1 is called off, 0, 4, 4",
+    "wk-1/0, wk-2/0, wk-1 is done, 0, 4, 0",
+    "wk-1/0, wk-2/0, wk-1/0 is done, 0, 4, 0",
+    "wk-1/0, wk-2/0, host-1 shows wk-1/0, 4, 4, 0",
+    // Two records may name one task; it is on one machine only.
+    "wk-1/0, wk-1/0, nothing, 0, 4, 0",
+    // Of a job that was over before the term, nobody knows the team or the size.
+    "wk-9/0, wk-2/0, nothing, 0, 4, 32",
+    "wk-1/0 wk-9/0, wk-2/0, nothing, 0, 8, 28",
+    // A machine that may hold anything counts beside one that is written down.
+    "wk-1/0, anything, nothing, 0, 8, 28",
+    "wk-1/0, anything, wk-1 is called off, 0, 4, 32",
+    "anything, anything, nothing, 0, 8, 56",
+    "anything, anything, wk-1 is called off, 0, 4, 60",
+  })
+  void countsEachMachineByItself(
+      String first,
+      String second,
+      String event,
+      double launched,
+      double possible,
+      double possiblyHeld) {
+    registered("host-1", first);
+    registered("host-2", second);
+    open("wk-1");
+    open("wk-2");
+    apply(event);
+    assertEquals(
+        new TeamUse.Amounts(launched, launched, possible, possiblyHeld, LIMIT_CPUS), counted());
+  }
+
+  /**
+   * What an old report shows ends with the next one; the record of the other machine still counts.
+   */
+  @ParameterizedTest
+  @CsvSource({"nothing, 4", "wk-1 is called off, 4"})
+  void anOldReportTakesNothingFromARecord(String event, double counted) {
+    registered("host-1", "wk-1/0");
+    registered("host-3", "wk-2/0");
+    open("wk-1");
+    apply("an old report of host-3 shows wk-1/0");
+    apply(event);
+    apply("host-3 holds nothing");
+    assertEquals(counted, counted().counted());
+  }
+
+  private void open(String id) {
+    cluster.addJob(Samples.job(id, "red", Priority.STANDARD, 2, 4), 1, 0, new BitSet(), 1);
+  }
+}
