An old report does not tell the zone of a job that is bound to one

Cause, found while going through what else relies on machines not accounted for: a task that the late report of an unconfirmed machine shows no longer counted as one that may be unseen. So a job bound to a zone went on in the zone of that report, although the task may be on another machine that nobody has found, in another zone (rule wrong_place).

Change: Job.launchedUnconfirmed: what may be unseen is what was launched, is not done, and is on no machine that is accounted for.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -472,15 +472,11 @@
    * knows here.
    */
   boolean zoneUnseen(Job job) {
-    return mayBeUnseen(job)
-        && unconfirmed().stream()
-            .anyMatch(
-                m ->
-                    m.held == null
-                        ? !job.launchedBefore().isEmpty()
-                        : m.held.stream()
-                            .anyMatch(
-                                t -> t.job().equals(job.spec.id()) && job.waiting.get(t.index())));
+    if (!mayBeUnseen(job)) {
+      return false;
+    }
+    BitSet tasks = job.launchedUnconfirmed();
+    return !tasks.isEmpty() && unconfirmed().stream().anyMatch(m -> m.mayHold(job, tasks));
   }
 
   /**
--- a/src/main/java/org/saffronshore/cluster/Job.java
+++ b/src/main/java/org/saffronshore/cluster/Job.java
@@ -140,6 +140,21 @@
     return all;
   }
 
+  /**
+   * Tasks that an earlier leader may have launched and that no machine accounted for has shown.
+   * What another machine's report shows may be over, and the task may be elsewhere by now.
+   */
+  BitSet launchedUnconfirmed() {
+    BitSet all = new BitSet();
+    all.set(0, Math.min(inheritedLaunchMark, spec.tasks()));
+    all.andNot(done);
+    placed.values().stream()
+        .filter(a -> a.machine.confirmed)
+        .forEach(a -> all.clear(a.task.index()));
+    others.stream().filter(a -> a.machine.confirmed).forEach(a -> all.clear(a.task.index()));
+    return all;
+  }
+
   /**
    * For how long its tasks could have run, at a time of day: not while it waited for other jobs.
    */
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -1,6 +1,7 @@
 package org.saffronshore.cluster;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -265,6 +266,12 @@
     applied = null;
   }
 
+  /** Whether an earlier leader can have left one of these tasks of a job here. */
+  boolean mayHold(Job job, BitSet tasks) {
+    String id = job.spec.id();
+    return held == null || held.stream().anyMatch(t -> t.job().equals(id) && tasks.get(t.index()));
+  }
+
   /**
    * A job is over. What an earlier leader may have left of it here may still run, but for tasks
    * that are done.
--- a/src/test/java/org/saffronshore/cluster/SessionAndZoneTest.java
+++ b/src/test/java/org/saffronshore/cluster/SessionAndZoneTest.java
@@ -8,6 +8,7 @@
 
 import java.util.BitSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -16,6 +17,7 @@
 import org.saffronshore.wire.Priority;
 import org.saffronshore.wire.Report.State;
 import org.saffronshore.wire.Report.Why;
+import org.saffronshore.wire.TaskId;
 
 /** Sessions, zones and back-offs when several faults meet. */
 class SessionAndZoneTest extends ClusterTestBase {
@@ -67,37 +69,66 @@
   void aJobBoundToZonesWaitsForItsUnseenTasks(boolean oneZone, boolean spread, boolean placeable) {
     cluster.addRegistered("host-1", 90, null);
     up("host-2");
+    boundToZones(oneZone, spread, 2);
+    assertEquals(placeable, placeable(), "its last two tasks were never launched");
+    loop.pass(Samples.LEASE_S * 1.1);
+    up("host-2");
+    cluster.expireLeases();
+    assertTrue(placeable());
+  }
+
+  /**
+   * An old report of a machine that is not accounted for shows a task that may be elsewhere by now:
+   * it does not tell the job's zone.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "false, '', true",
+    "true, '', false",
+    "true, wk-1/0, false",
+    "true, wk-2/0, false",
+  })
+  void anOldReportDoesNotTellTheZone(boolean oneZone, String heldByUnseen, boolean placeable) {
+    cluster.addRegistered("host-1", 90, null);
+    Set<TaskId> held =
+        heldByUnseen.isEmpty() ? null : Set.of(new TaskId(heldByUnseen.substring(0, 4), 0));
+    cluster.addRegistered("host-3", 90, held);
+    up("host-2");
+    boundToZones(oneZone, false, 1);
+    cluster.reported(
+        report("host-1", 1, ++seq, TERM - 1, task("wk-1", 0, 6, State.RUNNING, Why.NONE)));
+    assertEquals(placeable, placeable(), "its other tasks were never launched");
+    cluster.reported(report("host-1", 1, ++seq, TERM, task("wk-1", 0, 6, State.RUNNING, Why.NONE)));
+    assertTrue(placeable(), "the task is there, and so nowhere else");
+  }
+
+  private void boundToZones(boolean oneZone, boolean spread, int launchMark) {
     JobSpec plain = Samples.job("wk-1", "red", Priority.STANDARD, 4, 4);
     cluster.addJob(
         new JobSpec(
-            "wk-1",
-            "class",
-            "red",
-            Priority.STANDARD,
-            4,
-            4,
-            0,
-            1,
-            "image",
-            1,
-            null,
-            null,
+            plain.id(),
+            plain.jobClass(),
+            plain.team(),
+            plain.priority(),
+            plain.tasks(),
+            plain.cpus(),
+            plain.gpus(),
+            plain.memoryGb(),
+            plain.image(),
+            plain.imageGb(),
+            plain.types(),
+            plain.zone(),
             oneZone,
             spread,
-            true,
-            30,
-            0,
-            0,
+            plain.spot(),
+            plain.estimateS(),
+            plain.checkpointS(),
+            plain.saveS(),
             plain.deadlineS()),
         1,
         0,
         new BitSet(),
-        2);
-    assertEquals(placeable, placeable(), "its last two tasks were never launched");
-    loop.pass(Samples.LEASE_S * 1.1);
-    up("host-2");
-    cluster.expireLeases();
-    assertTrue(placeable());
+        launchMark);
   }
 
   /**
