--- a/src/main/java/org/saffronshore/admin/Metrics.java
+++ b/src/main/java/org/saffronshore/admin/Metrics.java
@@ -89,13 +89,8 @@
     latencies.get(latency).recordValue(Math.min(MAX_MICROS, Math.max(0, (long) (seconds * 1e6))));
   }
 
-  /** Adds a gauge; its name must be new. */
-  public void gauge(String name, DoubleSupplier value) {
-    tagged.add(new TaggedValue(name, Tags.empty(), false, value));
-  }
-
   /**
-   * Adds one gauge of several with the same name.
+   * Adds a gauge. Those that share a name differ in the values of their tags.
    *
    * @param tags names and values in turn
    */
@@ -103,7 +98,12 @@
     tagged.add(new TaggedValue(name, Tags.of(tags), false, value));
   }
 
-  /** Adds one counter of several with the same name; its value must never fall. */
+  /**
+   * Adds a counter. Those that share a name differ in the values of their tags.
+   *
+   * @param value must never fall
+   * @param tags names and values in turn
+   */
   public void counter(String name, DoubleSupplier value, String... tags) {
     tagged.add(new TaggedValue(name, Tags.of(tags), true, value));
   }
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -202,7 +202,8 @@
     PendingJob pending = entry.pending;
     if (!team.withinLimit(job)) {
       limited.add(
-          new Plan.LimitedTasks(job, pending.left(), team.withinLimitOfKnown(job), team.use()));
+          new Plan.LimitedTasks(
+              job, pending.left(), team.withinLimitOfKnown(job), team.currentUse()));
       return true;
     }
     TaskId task = new TaskId(job.id(), pending.next());
@@ -219,7 +220,7 @@
     }
     boolean overdue = pending.isOverdue();
     pending.entered(host.kind.zone());
-    TeamUse counted = team.use();
+    TeamUse counted = team.currentUse();
     team.use(job, tuning);
     failures.teamsChanged();
     host.enter(job);
--- a/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
+++ b/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
@@ -231,27 +231,8 @@
     return Samples.job("wk-" + ++lastJob, "red", Priority.STANDARD, tasks, TASK_CPUS);
   }
 
-  static JobSpec inOneZone(JobSpec j) {
-    return new JobSpec(
-        j.id(),
-        j.jobClass(),
-        j.team(),
-        j.priority(),
-        j.tasks(),
-        j.cpus(),
-        j.gpus(),
-        j.memoryGb(),
-        j.image(),
-        j.imageGb(),
-        j.types(),
-        j.zone(),
-        true,
-        false,
-        j.spot(),
-        j.estimateS(),
-        j.checkpointS(),
-        j.saveS(),
-        j.deadlineS());
+  static JobSpec inOneZone(JobSpec job) {
+    return Samples.boundToZones(job, true, false);
   }
 
   Process leader() {
--- a/src/test/java/org/saffronshore/scheduling/PlainCycle.java
+++ b/src/test/java/org/saffronshore/scheduling/PlainCycle.java
@@ -186,7 +186,8 @@
     PendingJob pending = entry.pending;
     if (!team.withinLimit(job)) {
       limited.add(
-          new Plan.LimitedTasks(job, pending.left(), team.withinLimitOfKnown(job), team.use()));
+          new Plan.LimitedTasks(
+              job, pending.left(), team.withinLimitOfKnown(job), team.currentUse()));
       return true;
     }
     TaskId task = new TaskId(job.id(), pending.next());
@@ -199,7 +200,7 @@
       return true;
     }
     pending.entered(host.kind.zone());
-    TeamUse counted = team.use();
+    TeamUse counted = team.currentUse();
     team.use(job, tuning);
     host.enter(job);
     if (host.free.fits(job)) {
