--- a/src/main/java/org/saffronshore/admin/Metrics.java
+++ b/src/main/java/org/saffronshore/admin/Metrics.java
@@ -89,8 +89,13 @@
     latencies.get(latency).recordValue(Math.min(MAX_MICROS, Math.max(0, (long) (seconds * 1e6))));
   }
 
+  /** Adds a gauge; its name must be new. */
+  public void gauge(String name, DoubleSupplier value) {
+    tagged.add(new TaggedValue(name, Tags.empty(), false, value));
+  }
+
   /**
-   * Adds a gauge. Those that share a name differ in the values of their tags.
+   * Adds one gauge of several with the same name.
    *
    * @param tags names and values in turn
    */
@@ -98,12 +103,7 @@
     tagged.add(new TaggedValue(name, Tags.of(tags), false, value));
   }
 
-  /**
-   * Adds a counter. Those that share a name differ in the values of their tags.
-   *
-   * @param value must never fall
-   * @param tags names and values in turn
-   */
+  /** Adds one counter of several with the same name; its value must never fall. */
   public void counter(String name, DoubleSupplier value, String... tags) {
     tagged.add(new TaggedValue(name, Tags.of(tags), true, value));
   }
--- a/src/main/java/org/saffronshore/cluster/Job.java
+++ b/src/main/java/org/saffronshore/cluster/Job.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Priority;
 
@@ -149,9 +148,10 @@
     BitSet all = new BitSet();
     all.set(0, Math.min(inheritedLaunchMark, spec.tasks()));
     all.andNot(done);
-    Stream.concat(placed.values().stream(), others.stream())
+    placed.values().stream()
         .filter(a -> a.machine.confirmed)
         .forEach(a -> all.clear(a.task.index()));
+    others.stream().filter(a -> a.machine.confirmed).forEach(a -> all.clear(a.task.index()));
     return all;
   }
 
--- a/src/main/java/org/saffronshore/cluster/TeamUsage.java
+++ b/src/main/java/org/saffronshore/cluster/TeamUsage.java
@@ -95,8 +95,7 @@
         continue;
       }
       room.take(spec);
-      // A task is on one machine at most: one that is done is on none, and one that a report has
-      // shown is counted with that machine's attempts.
+      // One that is done, or seen on a machine, and that there only, is counted there if anywhere.
       boolean mayBeHere = job == null || job.waiting.get(task.index());
       if (mayBeHere && listed.add(task)) {
         (job == null ? listedEnded : listedOpen)
--- a/src/main/java/org/saffronshore/control/TeamMetrics.java
+++ b/src/main/java/org/saffronshore/control/TeamMetrics.java
@@ -40,23 +40,23 @@
 
   private void gauge(
       Metrics metrics, String team, String kind, ToDoubleFunction<TeamUse.Amounts> amount) {
-    ToDoubleFunction<TeamUse> cpus = use -> amount.applyAsDouble(use.cpus());
-    ToDoubleFunction<TeamUse> gpus = use -> amount.applyAsDouble(use.gpus());
-    metrics.gauge("team_cpus", () -> latest(team, cpus), "team", team, "kind", kind);
-    metrics.gauge("team_gpus", () -> latest(team, gpus), "team", team, "kind", kind);
+    metrics.gauge("team_cpus", () -> cpus(team, amount), "team", team, "kind", kind);
+    metrics.gauge("team_gpus", () -> gpus(team, amount), "team", team, "kind", kind);
   }
 
-  private double latest(String team, ToDoubleFunction<TeamUse> value) {
+  private double cpus(String team, ToDoubleFunction<TeamUse.Amounts> amount) {
     TeamUse use = latest.get(team);
-    return use == null ? 0 : value.applyAsDouble(use);
+    return use == null ? 0 : amount.applyAsDouble(use.cpus());
+  }
+
+  private double gpus(String team, ToDoubleFunction<TeamUse.Amounts> amount) {
+    TeamUse use = latest.get(team);
+    return use == null ? 0 : amount.applyAsDouble(use.gpus());
   }
 
   /** A cycle has ended: what counts now, with what it placed. */
   void cycled(Collection<Team> teams, Collection<Plan.LimitedTasks> limited) {
-    for (Team team : teams) {
-      TeamUse use = team.currentUse();
-      latest.put(use.team(), use);
-    }
+    teams.forEach(team -> latest.put(team.use().team(), team.use()));
     Map<String, Boolean> byUnaccounted = new HashMap<>();
     limited.forEach(l -> byUnaccounted.merge(l.job().team(), l.unaccounted(), Boolean::logicalAnd));
     byUnaccounted.forEach(
--- a/src/main/java/org/saffronshore/scheduling/Cycle.java
+++ b/src/main/java/org/saffronshore/scheduling/Cycle.java
@@ -202,8 +202,7 @@
     PendingJob pending = entry.pending;
     if (!team.withinLimit(job)) {
       limited.add(
-          new Plan.LimitedTasks(
-              job, pending.left(), team.withinLimitOfKnown(job), team.currentUse()));
+          new Plan.LimitedTasks(job, pending.left(), team.withinLimitOfKnown(job), team.use()));
       return true;
     }
     TaskId task = new TaskId(job.id(), pending.next());
@@ -220,7 +219,7 @@
     }
     boolean overdue = pending.isOverdue();
     pending.entered(host.kind.zone());
-    TeamUse counted = team.currentUse();
+    TeamUse counted = team.use();
     team.use(job, tuning);
     failures.teamsChanged();
     host.enter(job);
--- a/src/main/java/org/saffronshore/scheduling/Team.java
+++ b/src/main/java/org/saffronshore/scheduling/Team.java
@@ -65,7 +65,7 @@
   }
 
   /** What counts against the limit now. */
-  public TeamUse currentUse() {
+  public TeamUse use() {
     return new TeamUse(
         rights.name(),
         new TeamUse.Amounts(
@@ -75,27 +75,22 @@
   }
 
   boolean withinLimit(JobSpec job) {
-    return limitAllows(countedCpus() + job.cpus(), countedGpus() + job.gpus());
+    double cpusAfter = countedCpus() + job.cpus();
+    double gpusAfter = launched.gpus + possible.gpus + possiblyHeld.gpus + job.gpus();
+    return (rights.cpusMax() <= 0 || cpusAfter <= rights.cpusMax() + EPSILON)
+        && (rights.gpusMax() <= 0 || gpusAfter <= rights.gpusMax() + EPSILON);
   }
 
   /** Whether the limit would let the task in if all machines were accounted for. */
   boolean withinLimitOfKnown(JobSpec job) {
-    return limitAllows(launched.cpus + job.cpus(), launched.gpus + job.gpus());
-  }
-
-  private boolean limitAllows(double cpusThen, double gpusThen) {
-    return (rights.cpusMax() <= 0 || cpusThen <= rights.cpusMax() + EPSILON)
-        && (rights.gpusMax() <= 0 || gpusThen <= rights.gpusMax() + EPSILON);
+    return (rights.cpusMax() <= 0 || launched.cpus + job.cpus() <= rights.cpusMax() + EPSILON)
+        && (rights.gpusMax() <= 0 || launched.gpus + job.gpus() <= rights.gpusMax() + EPSILON);
   }
 
   private double countedCpus() {
     return launched.cpus + possible.cpus + possiblyHeld.cpus;
   }
 
-  private double countedGpus() {
-    return launched.gpus + possible.gpus + possiblyHeld.gpus;
-  }
-
   /** How many more of such tasks the limit lets in. */
   int tasksWithinLimit(JobSpec job, int most) {
     return rights.cpusMax() <= 0 || job.cpus() <= 0
--- a/src/test/java/org/saffronshore/Samples.java
+++ b/src/test/java/org/saffronshore/Samples.java
@@ -68,30 +68,6 @@
         Double.POSITIVE_INFINITY);
   }
 
-  /** The same job, which may use one zone only, or at most half of its tasks in each. */
-  public static JobSpec boundToZones(JobSpec j, boolean oneZone, boolean spread) {
-    return new JobSpec(
-        j.id(),
-        j.jobClass(),
-        j.team(),
-        j.priority(),
-        j.tasks(),
-        j.cpus(),
-        j.gpus(),
-        j.memoryGb(),
-        j.image(),
-        j.imageGb(),
-        j.types(),
-        j.zone(),
-        oneZone,
-        spread,
-        j.spot(),
-        j.estimateS(),
-        j.checkpointS(),
-        j.saveS(),
-        j.deadlineS());
-  }
-
   public static final Map<String, MachineType> TYPES =
       Map.of("big", new MachineType("big", 32, 0, 256, 50, 1, 2, 1, 40, List.of("a", "b")));
 
--- a/src/test/java/org/saffronshore/cluster/SessionAndZoneTest.java
+++ b/src/test/java/org/saffronshore/cluster/SessionAndZoneTest.java
@@ -104,7 +104,31 @@
 
   private void boundToZones(boolean oneZone, boolean spread, int launchMark) {
     JobSpec plain = Samples.job("wk-1", "red", Priority.STANDARD, 4, 4);
-    cluster.addJob(Samples.boundToZones(plain, oneZone, spread), 1, 0, new BitSet(), launchMark);
+    cluster.addJob(
+        new JobSpec(
+            plain.id(),
+            plain.jobClass(),
+            plain.team(),
+            plain.priority(),
+            plain.tasks(),
+            plain.cpus(),
+            plain.gpus(),
+            plain.memoryGb(),
+            plain.image(),
+            plain.imageGb(),
+            plain.types(),
+            plain.zone(),
+            oneZone,
+            spread,
+            plain.spot(),
+            plain.estimateS(),
+            plain.checkpointS(),
+            plain.saveS(),
+            plain.deadlineS()),
+        1,
+        0,
+        new BitSet(),
+        launchMark);
   }
 
   /**
--- a/src/test/java/org/saffronshore/cluster/TeamUsageTest.java
+++ b/src/test/java/org/saffronshore/cluster/TeamUsageTest.java
@@ -36,7 +36,7 @@
   }
 
   private TeamUse.Amounts counted() {
-    return teams().get("red").currentUse().cpus();
+    return teams().get("red").use().cpus();
   }
 
   private void apply(String event) {
--- a/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
+++ b/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
@@ -231,8 +231,27 @@
     return Samples.job("wk-" + ++lastJob, "red", Priority.STANDARD, tasks, TASK_CPUS);
   }
 
-  static JobSpec inOneZone(JobSpec job) {
-    return Samples.boundToZones(job, true, false);
+  static JobSpec inOneZone(JobSpec j) {
+    return new JobSpec(
+        j.id(),
+        j.jobClass(),
+        j.team(),
+        j.priority(),
+        j.tasks(),
+        j.cpus(),
+        j.gpus(),
+        j.memoryGb(),
+        j.image(),
+        j.imageGb(),
+        j.types(),
+        j.zone(),
+        true,
+        false,
+        j.spot(),
+        j.estimateS(),
+        j.checkpointS(),
+        j.saveS(),
+        j.deadlineS());
   }
 
   Process leader() {
--- a/src/test/java/org/saffronshore/scheduling/PlainCycle.java
+++ b/src/test/java/org/saffronshore/scheduling/PlainCycle.java
@@ -186,8 +186,7 @@
     PendingJob pending = entry.pending;
     if (!team.withinLimit(job)) {
       limited.add(
-          new Plan.LimitedTasks(
-              job, pending.left(), team.withinLimitOfKnown(job), team.currentUse()));
+          new Plan.LimitedTasks(job, pending.left(), team.withinLimitOfKnown(job), team.use()));
       return true;
     }
     TaskId task = new TaskId(job.id(), pending.next());
@@ -200,7 +199,7 @@
       return true;
     }
     pending.entered(host.kind.zone());
-    TeamUse counted = team.currentUse();
+    TeamUse counted = team.use();
     team.use(job, tuning);
     host.enter(job);
     if (host.free.fits(job)) {
