--- a/review/lib/Judge.java
+++ b/review/lib/Judge.java
@@ -47,10 +47,6 @@
     return starts.getOrDefault(task, 0);
   }
 
-  synchronized boolean isOn(String task, String machine) {
-    return on.getOrDefault(task, Map.of()).containsKey(machine);
-  }
-
   /** Returns the machine that the task is on; null if it is on none. */
   synchronized String machineOf(String task) {
     return on.getOrDefault(task, Map.of()).keySet().stream().findFirst().orElse(null);
--- a/review/lib/Node.java
+++ b/review/lib/Node.java
@@ -35,10 +35,6 @@
     return settings;
   }
 
-  long pid() {
-    return process.pid();
-  }
-
   boolean isAlive() {
     return process != null && process.isAlive();
   }
@@ -68,12 +64,6 @@
     }
   }
 
-  /** Sends a signal, such as STOP or CONT, to the process. */
-  void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start().waitFor();
-    Log.line("controller %s gets signal %s", name, signal);
-  }
-
   boolean isLeading() {
     return isAlive()
         && Http.send("GET", peerAddress(), "/admin/status", (byte[]) null, 1)
@@ -81,8 +71,4 @@
             .path("leading")
             .asBoolean();
   }
-
-  Path log() {
-    return log;
-  }
 }
--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -95,10 +95,6 @@
     }
   }
 
-  boolean isGone() {
-    return gone;
-  }
-
   private Http.Reply handle(String method, String path, Map<String, String> query, byte[] body)
       throws Exception {
     if (path.equals("/status")) {
@@ -142,9 +138,7 @@
       String task = call.get("Leg").asText();
       long attempt = call.get("Lap").asLong();
       String key = task + "#" + attempt;
-      if (world.verbose) {
-        Log.line("machine %s executes %s %s", name, call.get("Call").asText(), key);
-      }
+      Log.line("machine %s executes %s %s", name, call.get("Call").asText(), key);
       switch (call.get("Call").asText()) {
         case "launch" -> launch(key, task, attempt);
         case "kill" -> {
--- a/review/lib/World.java
+++ b/review/lib/World.java
@@ -1,4 +1,3 @@
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -37,7 +36,6 @@
   final StateService state;
   final Cloud cloud;
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-  final boolean verbose = true;
   private final Path folder;
   private int nextNode;
 
@@ -204,12 +202,6 @@
     return reply.status() == 200 ? reply.body().path("Status").asText() : "";
   }
 
-  String cancel(String id) {
-    Http.Reply reply = Http.send("POST", node(), "/work/" + id + "/cancel", new byte[0], 5);
-    Log.line("user cancels %s -> %d %s", id, reply.status(), reply.body());
-    return reply.status() == 200 ? reply.body().path("Status").asText() : "";
-  }
-
   private String node() {
     for (int i = 0; i < nodes.size(); i++) {
       Node node = nodes.get(nextNode++ % nodes.size());
