Log the commands in responses to heartbeats

Cause: a worker forgets an exited attempt when it is told so in the response to a heartbeat, and only direct commands were logged. Change: a debug line with the machine, the commands, the token, the epoch and the sequence for each response with commands. Measured: nothing; the line is written at debug only.

--- a/src/main/java/org/saffronshore/control/HeartbeatService.java
+++ b/src/main/java/org/saffronshore/control/HeartbeatService.java
@@ -9,10 +9,14 @@
 import org.saffronshore.wire.Command;
 import org.saffronshore.wire.CommandMessage;
 import org.saffronshore.wire.Heartbeat;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Handles the heartbeats of workers as the leader. */
 @NullMarked
 final class HeartbeatService {
+  private static final Logger LOG = LoggerFactory.getLogger(HeartbeatService.class);
+
   private final LeaderTerm term;
   private final Cluster cluster;
   private final Runnable dueWork;
@@ -51,6 +55,15 @@
       return null;
     }
     List<Command> commands = cluster.responseCommands(machine);
+    if (!commands.isEmpty()) {
+      LOG.debug(
+          "Commands in response to heartbeat: machine={} commands={} token={} epoch={} sequence={}",
+          machine.id(),
+          commands,
+          term.number(),
+          heartbeat.epoch(),
+          heartbeat.sequence());
+    }
     dueWork.run();
     return commands.isEmpty()
         ? emptyResponse
