Reap an attempt only with a larger fencing token than its launches

A launch that had been executed and answered was delivered once more; the worker had been told to forget the stopped attempt, and started it anew.

Cause: a worker accepts a launch by its token and epoch. A launch that was answered was taken as one that cannot arrive any more, so its attempt was reaped at once, with the token of the launch. From then on nothing kept a copy out. The end of the leader is incidental, and so is whether the task is finished: copies of launches of cancelled and of completed jobs start as well.

Change: a reap is sent only with a fencing token larger than that of each launch of the attempt, so that the worker that executes it rejects all copies (cluster.AttemptReaper). A leader reserves tokens in blocks by raising the number in t/term while the leader key is its own (failover.FencingTokenStore); the next term's number is larger, whichever version claims it. The token of a machine is raised by the response to a heartbeat, not while a direct command is in flight, so no message is rejected for it. The stored form and all messages are as before.

FakeWorker also rejects a reap with the token of a launch, in all simulations. They compare the same text as before.

--- a/src/main/java/org/saffronshore/cluster/Attempt.java
+++ b/src/main/java/org/saffronshore/cluster/Attempt.java
@@ -54,6 +54,9 @@
    */
   private boolean deliveryUnknown;
 
+  /** See {@link #largestLaunchToken()}. */
+  private long largestLaunchToken;
+
   /** See {@link #runningSince()}. */
   private double runningSince = Double.NaN;
 
@@ -239,6 +242,19 @@
     launchSent = true;
   }
 
+  /**
+   * Returns the largest fencing token with which a launch of the attempt may have been sent in this
+   * term; 0 if only earlier leaders launched it.
+   */
+  long largestLaunchToken() {
+    return largestLaunchToken;
+  }
+
+  /** Records that a launch of the attempt was, or may have been, sent with a fencing token. */
+  void launchSentWith(long fencingToken) {
+    largestLaunchToken = Math.max(largestLaunchToken, fencingToken);
+  }
+
   /** Records that the launch was sent in a direct command. */
   void launchSent() {
     launchSent = true;
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -10,6 +10,7 @@
 import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.ArrivalStatistics;
 import org.saffronshore.http.EventLoop;
+import org.saffronshore.leadership.FencingTokens;
 import org.saffronshore.wire.Command;
 import org.saffronshore.wire.Heartbeat;
 import org.saffronshore.wire.JobSpec;
@@ -54,18 +55,19 @@
   /**
    * Creates the cluster at the start of a term, without machines or jobs.
    *
+   * @param tokens the fencing tokens of the term; the first is the number of the term
    * @param leaderKeyVersion the version of the leader key that was written when this term began
    */
-  public Cluster(EventLoop loop, Settings settings, long term, long leaderKeyVersion) {
+  public Cluster(EventLoop loop, Settings settings, FencingTokens tokens, long leaderKeyVersion) {
     Runnable onChange = () -> changed = true;
-    this.term = term;
+    this.term = tokens.first();
     this.startedAt = loop.now();
     this.arrivals = new ArrivalStatistics(ARRIVAL_WINDOW_LEASES * settings.workerLeaseS());
     this.jobs = new JobTable(loop, arrivals, leaderKeyVersion, onChange);
-    this.machines = new MachineTable(loop, settings);
+    this.machines = new MachineTable(loop, settings, term);
     this.reconciliation = new Reconciliation(jobs);
     this.registry = new MachineRegistry(loop, machines, onChange);
-    this.commandBuilder = new CommandBuilder(loop, settings, jobs);
+    this.commandBuilder = new CommandBuilder(loop, settings, jobs, tokens);
     this.commandQueue = new CommandQueue(commandBuilder);
     this.attempts =
         new AttemptLifecycle(
@@ -389,7 +391,7 @@
 
   /**
    * Returns the commands for the response to a heartbeat: stops, exited attempts that the worker
-   * may forget, and launches whose delivery is unknown.
+   * may forget, and launches whose delivery is unknown. May raise the machine's fencing token.
    */
   public List<Command> responseCommands(Machine machine) {
     return commandBuilder.responseCommands(machine);
--- a/src/main/java/org/saffronshore/cluster/CommandBuilder.java
+++ b/src/main/java/org/saffronshore/cluster/CommandBuilder.java
@@ -4,11 +4,12 @@
 import java.util.List;
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.EventLoop;
+import org.saffronshore.leadership.FencingTokens;
 import org.saffronshore.wire.Command;
 
 /**
  * Builds the commands that are due for a machine: launches, stops, and reaps of exited attempts
- * that its worker may forget.
+ * that its worker may forget. They are to be sent with the machine's current fencing token.
  */
 final class CommandBuilder {
   private static final int MAX_COMMANDS_PER_MESSAGE = 400;
@@ -16,11 +17,15 @@
   private final EventLoop loop;
   private final Settings settings;
   private final JobTable jobs;
+  private final FencingTokens tokens;
+  private final AttemptReaper reaper;
 
-  CommandBuilder(EventLoop loop, Settings settings, JobTable jobs) {
+  CommandBuilder(EventLoop loop, Settings settings, JobTable jobs, FencingTokens tokens) {
     this.loop = loop;
     this.settings = settings;
     this.jobs = jobs;
+    this.tokens = tokens;
+    this.reaper = new AttemptReaper(jobs, tokens);
   }
 
   /**
@@ -55,11 +60,12 @@
 
   /**
    * Returns the commands for the response to a heartbeat: stops, exited attempts that the worker
-   * may forget, and launches whose delivery is unknown.
+   * may forget, and launches whose delivery is unknown. May raise the machine's fencing token.
    */
   List<Command> responseCommands(Machine machine) {
     List<Command> commands = new ArrayList<>();
     if (machine.isReconciled()) {
+      reaper.raiseTokenIfDue(machine);
       addCommands(machine, commands, new ArrayList<>(), false);
     }
     return commands;
@@ -82,7 +88,7 @@
       if (commands.size() >= MAX_COMMANDS_PER_MESSAGE) {
         return;
       }
-      if (isReapable(attempt)) {
+      if (reaper.isReapable(attempt)) {
         commands.add(Command.reap(attempt.task(), attempt.number()));
       }
     }
@@ -109,6 +115,9 @@
     }
     commands.add(Command.launch(attempt.task(), attempt.number()));
     launches.add(attempt);
+    long token = attempt.machine().fencingToken();
+    attempt.launchSentWith(token);
+    tokens.launchSent(token);
     if (attempt.isStopping()) {
       commands.add(Command.stop(attempt.task(), attempt.number(), 0));
     }
@@ -129,19 +138,4 @@
   private boolean isStopDue(Attempt attempt) {
     return attempt.isStopDue(loop.now(), settings.heartbeatIntervalS() * 2 / 3);
   }
-
-  /**
-   * Returns whether the worker may forget an exited attempt: no launch can start it again, and if
-   * it completed its task, that is stored or the job is no longer open.
-   */
-  private boolean isReapable(Attempt attempt) {
-    if (attempt.launchMayArrive()) {
-      return false;
-    }
-    if (!attempt.isCompleted()) {
-      return true;
-    }
-    Job job = jobs.get(attempt.task().job());
-    return job == null || job.savedFinishedTasks().get(attempt.task().index());
-  }
 }
--- a/src/main/java/org/saffronshore/cluster/CommandDelivery.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDelivery.java
@@ -1,8 +1,9 @@
 package org.saffronshore.cluster;
 
 /**
- * The state of the delivery of direct commands to one machine's worker: at most one batch is in
- * flight, and failures delay the next one.
+ * The state of the delivery of commands to one machine's worker: the fencing token of all messages
+ * to it, and its direct commands, of which at most one batch is in flight. Failures delay the next
+ * batch.
  */
 final class CommandDelivery {
   /** Consecutive failures beyond this number do not extend the backoff any further. */
@@ -11,6 +12,24 @@
   private boolean inFlight;
   private int consecutiveFailures;
   private double nextBatchAt = Double.NEGATIVE_INFINITY;
+  private long fencingToken;
+
+  CommandDelivery(long firstFencingToken) {
+    this.fencingToken = firstFencingToken;
+  }
+
+  /** Returns the fencing token of the messages to the worker. */
+  long fencingToken() {
+    return fencingToken;
+  }
+
+  /**
+   * Sends all further messages with this fencing token, unless theirs is larger already. The token
+   * must be reserved for this term or belong to an earlier one.
+   */
+  void raiseFencingToken(long token) {
+    fencingToken = Math.max(fencingToken, token);
+  }
 
   boolean isInFlight() {
     return inFlight;
--- a/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
@@ -64,7 +64,7 @@
     // The epoch is a guess if the current one is not known. A wrong guess is harmless: the worker
     // executes nothing, and its rejection contains the right epoch.
     long epoch = Math.max(1, machine.epochs().epoch());
-    return new CommandBatch(machine, epoch, commands, launches);
+    return new CommandBatch(machine, epoch, machine.fencingToken(), commands, launches);
   }
 
   /**
--- a/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
@@ -100,6 +100,7 @@
       beginEpoch(machine, heartbeat.epoch());
     }
     machine.epochs().advanceTo(heartbeat.sequence());
+    machine.delivery().raiseFencingToken(heartbeat.fencingToken());
     machine.lease().newestMessageReceived(loop.now());
     if (!machine.isUp()) {
       markUp(machine);
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -70,7 +70,7 @@
   private final WorkerLease lease = new WorkerLease();
   private final RegistryEntry registryEntry = new RegistryEntry();
   private final PossibleTasks possibleTasks = new PossibleTasks();
-  private final CommandDelivery delivery = new CommandDelivery();
+  private final CommandDelivery delivery;
   private final ImageCache images = new ImageCache();
 
   private final MachineTasks tasks;
@@ -82,9 +82,11 @@
    * Creates a machine that has not been heard from.
    *
    * @param silentAfterS the time without a heartbeat after which the machine gets no more tasks
+   * @param firstFencingToken the first fencing token of this term
    */
-  Machine(String id, double silentAfterS, double now) {
+  Machine(String id, double silentAfterS, long firstFencingToken, double now) {
     this.id = id;
+    this.delivery = new CommandDelivery(firstFencingToken);
     this.health = new MachineHealth(silentAfterS);
     this.tasks = new MachineTasks(now);
     this.knownToExistSince = now;
@@ -288,6 +290,11 @@
     return delivery;
   }
 
+  /** Returns the fencing token of the messages to the worker. */
+  public long fencingToken() {
+    return delivery.fencingToken();
+  }
+
   ImageCache images() {
     return images;
   }
--- a/src/main/java/org/saffronshore/cluster/MachineTable.java
+++ b/src/main/java/org/saffronshore/cluster/MachineTable.java
@@ -24,6 +24,7 @@
 
   private final EventLoop loop;
   private final Settings settings;
+  private final long firstFencingToken;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
 
   /** Removal times of machines, in order of removal. */
@@ -34,9 +35,10 @@
   /** The moment since which this controller has not paused. */
   private double resumedAt;
 
-  MachineTable(EventLoop loop, Settings settings) {
+  MachineTable(EventLoop loop, Settings settings, long firstFencingToken) {
     this.loop = loop;
     this.settings = settings;
+    this.firstFencingToken = firstFencingToken;
     this.resumedAt = loop.now();
   }
 
@@ -58,7 +60,7 @@
     Machine machine = machines.get(id);
     if (machine == null) {
       double silentAfterS = SILENT_AFTER_INTERVALS * settings.heartbeatIntervalS();
-      machine = new Machine(id, silentAfterS, loop.now());
+      machine = new Machine(id, silentAfterS, firstFencingToken, loop.now());
       machines.put(id, machine);
     }
     return machine;
--- a/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
@@ -92,6 +92,9 @@
       attempt =
           new Attempt(
               task, status.attempt(), machine, job == null ? null : job.spec(), loop.now(), false);
+      if (attempts.wasPlacedInThisTerm(attempt)) {
+        attempt.launchSentWith(machine.fencingToken());
+      }
       if (exited) {
         handleExit(attempt, status.exitReason(), job);
         return;
--- a/src/main/java/org/saffronshore/control/CommandSender.java
+++ b/src/main/java/org/saffronshore/control/CommandSender.java
@@ -77,10 +77,11 @@
 
   private void send(CommandBatch batch) {
     LOG.debug(
-        "Sending commands: machine={} commands={} term={} epoch={}",
+        "Sending commands: machine={} commands={} term={} token={} epoch={}",
         batch.machine().id(),
         batch.commands(),
         term.number(),
+        batch.fencingToken(),
         batch.epoch());
     // A probe, which contains no commands, has a shorter timeout. Otherwise probes would delay
     // launches when many machines do not respond.
@@ -88,7 +89,7 @@
         Objects.requireNonNull(batch.machine().address(), "address of a machine that has commands"),
         "POST",
         COMMAND_PATH,
-        new CommandMessage(term.number(), batch.commands()).toDirectCommand(batch.epoch()),
+        new CommandMessage(batch.fencingToken(), batch.commands()).toDirectCommand(batch.epoch()),
         batch.commands().isEmpty() ? probeTimeoutS : commandTimeoutS,
         response -> handleResponse(batch, response));
   }
--- a/src/main/java/org/saffronshore/control/HeartbeatService.java
+++ b/src/main/java/org/saffronshore/control/HeartbeatService.java
@@ -21,7 +21,7 @@
   private final Cluster cluster;
   private final Runnable dueWork;
 
-  /** The body of a response without commands, encoded once since most responses have none. */
+  /** The body of a response with the term's first fencing token and without commands. */
   private final byte[] emptyResponse;
 
   /**
@@ -55,18 +55,20 @@
       return null;
     }
     List<Command> commands = cluster.responseCommands(machine);
+    CommandMessage response = new CommandMessage(machine.fencingToken(), commands);
     if (!commands.isEmpty()) {
       LOG.debug(
           "Commands in response to heartbeat: machine={} commands={} token={} epoch={} sequence={}",
           machine.id(),
           commands,
-          term.number(),
+          response.fencingToken(),
           heartbeat.epoch(),
           heartbeat.sequence());
     }
     dueWork.run();
-    return commands.isEmpty()
-        ? emptyResponse
-        : new CommandMessage(term.number(), commands).toHeartbeatResponse();
+    if (commands.isEmpty() && response.fencingToken() == term.number()) {
+      return emptyResponse;
+    }
+    return response.toHeartbeatResponse();
   }
 }
--- a/src/main/java/org/saffronshore/control/Leader.java
+++ b/src/main/java/org/saffronshore/control/Leader.java
@@ -10,6 +10,7 @@
 import org.saffronshore.cluster.Job;
 import org.saffronshore.config.Settings;
 import org.saffronshore.failover.Failover;
+import org.saffronshore.leadership.FencingTokens;
 import org.saffronshore.leadership.LeaderTerm;
 import org.saffronshore.peer.JobProgress;
 import org.saffronshore.peer.TermProgress;
@@ -44,10 +45,11 @@
   Leader(LeaderServices services, long number, long leaderKeyVersion) {
     this.settings = services.settings();
     this.quotaMetrics = services.quotaMetrics();
-    this.cluster = new Cluster(services.loop(), settings, number, leaderKeyVersion);
+    FencingTokens tokens = new FencingTokens(number);
+    this.cluster = new Cluster(services.loop(), settings, tokens, leaderKeyVersion);
     this.term =
         new LeaderTerm(
-            services.loop(), settings, services.leadership(), number, cluster::onProcessPause);
+            services.loop(), settings, services.leadership(), tokens, cluster::onProcessPause);
     this.operatorSettings = new OperatorSettingsReader(services.state(), settings.teams().keySet());
     this.commandSender =
         new CommandSender(settings, services.client(), term, cluster, this::runDueWork);
--- a/src/main/java/org/saffronshore/failover/Failover.java
+++ b/src/main/java/org/saffronshore/failover/Failover.java
@@ -16,6 +16,7 @@
   private final LeaderTerm term;
   private final FinishedTasksStore finishedTasks;
   private final LaunchWatermarkStore launchWatermarks;
+  private final FencingTokenStore fencingTokens;
   private final MachineRegistryStore machineRegistry;
   private final JobOutcomeWriter outcomes;
   private final CancellationTracker cancellations;
@@ -43,6 +44,7 @@
     this.finishedTasks = new FinishedTasksStore(transactions, settings, cluster);
     this.launchWatermarks =
         new LaunchWatermarkStore(loop, settings, transactions, cluster, dueWork);
+    this.fencingTokens = new FencingTokenStore(loop, settings, state, transactions, term);
     this.machineRegistry = new MachineRegistryStore(loop, settings, transactions, cluster, dueWork);
     JobRemoval jobRemoval = new JobRemoval(cluster, launchWatermarks, finishedTasks);
     this.outcomes =
@@ -72,13 +74,14 @@
   }
 
   /**
-   * Writes the records that other actions wait for: launch watermarks, the machine registry and the
-   * outcomes of completed jobs.
+   * Writes the records that other actions wait for: launch watermarks, the machine registry, the
+   * outcomes of completed jobs and reservations of fencing tokens.
    */
   public void saveDueRecords() {
     launchWatermarks.save();
     machineRegistry.save();
     outcomes.saveCompletedJobs();
+    fencingTokens.save();
   }
 
   /** Writes the launch watermarks that must be persisted before placed tasks are launched. */
--- a/src/main/java/org/saffronshore/leadership/LastTerm.java
+++ b/src/main/java/org/saffronshore/leadership/LastTerm.java
@@ -7,7 +7,8 @@
 /**
  * The latest term of the deployment, as stored in the term key.
  *
- * @param number the term's number; 0 if there was no term yet
+ * @param number the last fencing token that was reserved for the term, at least the term's number;
+ *     0 if there was no term yet
  * @param node the controller that led the term; null if it is not known
  * @param incarnation the process that led the term; null if it is not known
  * @param keyVersion the version of the term key; 0 if the key is missing
--- a/src/main/java/org/saffronshore/leadership/LeaderTerm.java
+++ b/src/main/java/org/saffronshore/leadership/LeaderTerm.java
@@ -15,7 +15,7 @@
 
   private final EventLoop loop;
   private final Leadership leadership;
-  private final long number;
+  private final FencingTokens tokens;
 
   /** A longer gap than this between two checks means that the process was paused. */
   private final double pauseThresholdS;
@@ -28,25 +28,34 @@
   /**
    * Starts a term.
    *
-   * @param number the term's number, which is its fencing token
+   * @param tokens the term's fencing tokens; the first is the number of the term
    * @param onPauseDetected called when the process was paused while its clock continued
    */
   public LeaderTerm(
       EventLoop loop,
       Settings settings,
       Leadership leadership,
-      long number,
+      FencingTokens tokens,
       Runnable onPauseDetected) {
     this.loop = loop;
     this.leadership = leadership;
-    this.number = number;
+    this.tokens = tokens;
     this.pauseThresholdS = settings.heartbeatIntervalS() / 3;
     this.onPauseDetected = onPauseDetected;
     this.lastPauseCheckAt = loop.now();
   }
 
   public long number() {
-    return number;
+    return tokens.first();
+  }
+
+  public FencingTokens fencingTokens() {
+    return tokens;
+  }
+
+  /** Returns the identifier that distinguishes this process from earlier ones of its controller. */
+  public String incarnation() {
+    return leadership.incarnation();
   }
 
   /** Returns the version of the leader key that was written when this term began. */
@@ -109,13 +118,13 @@
   }
 
   /**
-   * Steps down if a worker has seen a larger fencing token than this term's, which proves that
-   * there is a newer leader.
+   * Steps down if a worker has seen a larger fencing token than those reserved for this term, which
+   * proves that there is a newer leader.
    *
-   * @return whether the worker has seen a larger fencing token
+   * @return whether the worker has seen such a token
    */
   public boolean stepDownIfSuperseded(String machine, long fencingToken) {
-    if (fencingToken <= number) {
+    if (tokens.isReserved(fencingToken)) {
       return false;
     }
     stepDown(
@@ -124,7 +133,7 @@
             + " has seen fencing token "
             + fencingToken
             + ", larger than "
-            + number);
+            + tokens.lastReserved());
     return true;
   }
 
@@ -139,7 +148,7 @@
     if (now - lastPauseCheckAt > pauseThresholdS) {
       LOG.info(
           "Process was paused: term={} duration_s={}",
-          number,
+          number(),
           Math.round(10 * (now - lastPauseCheckAt)) / 10.0);
       onPauseDetected.run();
     }
--- a/src/main/java/org/saffronshore/state/Keys.java
+++ b/src/main/java/org/saffronshore/state/Keys.java
@@ -58,8 +58,10 @@
   public static final String LEADER = "l/leader";
 
   /**
-   * The last term and its leader. Unlike {@link #LEADER}, the key outlives the leader's lease.
-   * Candidates write it together with {@link #LEADER}, and read it. Form: {@link LeaderRecord}.
+   * The last fencing token that is reserved for the last term, and its leader. Unlike {@link
+   * #LEADER}, the key outlives the leader's lease. Candidates read it, and write the number of the
+   * next term, which is the term's first token, together with {@link #LEADER}; the leader writes it
+   * to reserve more tokens. Form: {@link LeaderRecord}.
    */
   public static final String TERM = "t/term";
 
--- a/src/main/java/org/saffronshore/state/LeaderRecord.java
+++ b/src/main/java/org/saffronshore/state/LeaderRecord.java
@@ -11,7 +11,8 @@
  * @param controller the controller's name; null when it is not known
  * @param incarnation distinguishes the process from earlier ones of the same controller; null when
  *     it is not known
- * @param term the term number; -1 when it is not known
+ * @param term the term number, or the last fencing token that is reserved for the term in {@link
+ *     Keys#TERM}; -1 when it is not known
  */
 public record LeaderRecord(@Nullable String controller, @Nullable String incarnation, long term) {
   private static final String CONTROLLER_FIELD = "Node";
@@ -26,6 +27,11 @@
         Json.integer(stored, TERM_FIELD, -1));
   }
 
+  /** Returns a record of the same process with another term number. */
+  public LeaderRecord withTerm(long number) {
+    return new LeaderRecord(controller, incarnation, number);
+  }
+
   /** Returns the stored form. */
   public ObjectNode toJson() {
     return Json.object()
--- a/src/main/java/org/saffronshore/wire/CommandMessage.java
+++ b/src/main/java/org/saffronshore/wire/CommandMessage.java
@@ -6,8 +6,8 @@
 /**
  * A message from the leader to a worker: the response to a heartbeat, or a direct command.
  *
- * @param fencingToken the leader's term; a worker rejects a token smaller than the largest it has
- *     seen
+ * @param fencingToken a fencing token of the leader's term; a worker rejects a token smaller than
+ *     the largest it has seen
  * @param commands the commands, in the order in which the worker carries them out
  */
 public record CommandMessage(long fencingToken, List<Command> commands) {
--- a/src/test/java/org/saffronshore/autoscaling/BootTimesTest.java
+++ b/src/test/java/org/saffronshore/autoscaling/BootTimesTest.java
@@ -8,6 +8,7 @@
 import org.saffronshore.ManualEventLoop;
 import org.saffronshore.TestData;
 import org.saffronshore.cluster.Cluster;
+import org.saffronshore.leadership.FencingTokens;
 import org.saffronshore.wire.MachineType;
 import org.saffronshore.wire.Priority;
 
@@ -17,7 +18,8 @@
           "small", new MachineType("small", 4, 0, 64, 50, 1, 1, 1, 30, List.of("a")),
           "large", new MachineType("large", 16, 0, 64, 50, 1, 1, 1, 90, List.of("a")));
 
-  private final Cluster cluster = new Cluster(new ManualEventLoop(), TestData.settings(), 1, 1);
+  private final Cluster cluster =
+      new Cluster(new ManualEventLoop(), TestData.settings(), new FencingTokens(1), 1);
   private final BootTimes bootTimes = new BootTimes(TestData.settings(), cluster);
 
   private double shortestForTaskOf(double cpus) {
--- a/src/test/java/org/saffronshore/autoscaling/CapacityBackoffTest.java
+++ b/src/test/java/org/saffronshore/autoscaling/CapacityBackoffTest.java
@@ -9,6 +9,7 @@
 import org.saffronshore.ManualEventLoop;
 import org.saffronshore.TestData;
 import org.saffronshore.cluster.Cluster;
+import org.saffronshore.leadership.FencingTokens;
 import org.saffronshore.wire.MachineKind;
 
 /**
@@ -20,7 +21,7 @@
   private static final MachineKind OTHER_ZONE = new MachineKind("big", "b", true);
 
   private final ManualEventLoop loop = new ManualEventLoop();
-  private final Cluster cluster = new Cluster(loop, TestData.settings(), 1, 1);
+  private final Cluster cluster = new Cluster(loop, TestData.settings(), new FencingTokens(1), 1);
   private final CapacityBackoff backoff =
       new CapacityBackoff(loop, new BootTimes(TestData.settings(), cluster));
 
--- a/src/test/java/org/saffronshore/cluster/ClusterTestBase.java
+++ b/src/test/java/org/saffronshore/cluster/ClusterTestBase.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.saffronshore.ManualEventLoop;
 import org.saffronshore.TestData;
+import org.saffronshore.leadership.FencingTokens;
 import org.saffronshore.scheduling.SchedulingCycle;
 import org.saffronshore.scheduling.SchedulingPlan;
 import org.saffronshore.scheduling.SchedulingSettings;
@@ -28,12 +29,14 @@
 
   static final TaskId TASK = new TaskId("wk-1", 0);
   final ManualEventLoop loop = new ManualEventLoop();
-  final Cluster cluster = new Cluster(loop, TestData.settings(), TERM, TERM_VERSION);
+  final FencingTokens tokens = new FencingTokens(TERM);
+  final Cluster cluster = new Cluster(loop, TestData.settings(), tokens, TERM_VERSION);
   long sequence;
 
   @BeforeEach
-  void setMachineTypes() {
+  void setMachineTypesAndReserveTokens() {
     cluster.machineTypes(TestData.MACHINE_TYPES);
+    tokens.reservedUpTo(TERM + 100);
   }
 
   /** Adds job wk-1 with a single task, accepted at the given version. */
--- a/src/test/java/org/saffronshore/cluster/UnresponsiveMachineTest.java
+++ b/src/test/java/org/saffronshore/cluster/UnresponsiveMachineTest.java
@@ -90,7 +90,7 @@
       cluster.unresponsiveMachines().detect();
       if (scenario == Scenario.EPOCH_RISES_AND_COMMAND_RESPONSE_IS_RECEIVED) {
         cluster.batchCompleted(
-            new CommandBatch(machine, 2, List.of(), List.of()),
+            new CommandBatch(machine, 2, TERM, List.of(), List.of()),
             DeliveryOutcome.EXECUTED,
             heartbeat("host-1", 2, ++sequence, TERM));
       }
--- a/src/test/java/org/saffronshore/compatibility/StateServiceProtocolTest.java
+++ b/src/test/java/org/saffronshore/compatibility/StateServiceProtocolTest.java
@@ -212,13 +212,18 @@
                     + "'Then':[{'Set':'r/0','Data':{'host-1':{'At':1002001}}}]}",
                 leaderCondition
                     + ",{'K':'b/0','Stamp':0}],'Then':[{'Set':'b/0','Data':{'wk-1':2}}]}",
+                leaderCondition
+                    + ",{'K':'t/term','Stamp':3}],'Then':[{'Set':'t/term','Data':{'Node':'n-0',"
+                    + "'Life':'"
+                    + INCARNATION
+                    + "','Term':16385}}]}",
                 leaderCondition
                     + ",{'K':'p/0','Stamp':0}],'Then':[{'Set':'p/0','Data':{'wk-1/0':'AQ=='}}]}",
                 leaderCondition
                     + ",{'K':'j/wk-1','Stamp':2},{'K':'f/wk-1','Stamp':0}],"
                     + "'Then':[{'Set':'f/wk-1','Data':{'State':'done','At':1009000}},"
                     + "{'Remove':'j/wk-1'}]}",
-                leaderCondition + ",{'K':'p/0','Stamp':7}],'Then':[{'Set':'p/0','Data':{}}]}",
+                leaderCondition + ",{'K':'p/0','Stamp':8}],'Then':[{'Set':'p/0','Data':{}}]}",
                 leaderCondition + ",{'K':'r/0','Stamp':5}],'Then':[{'Set':'r/0','Data':{}}]}")),
         sortedJson(cluster.sentTransactions()));
   }
--- a/src/test/java/org/saffronshore/compatibility/WorkerProtocolTest.java
+++ b/src/test/java/org/saffronshore/compatibility/WorkerProtocolTest.java
@@ -28,9 +28,13 @@
         + "}";
   }
 
-  /** The body of the response to a heartbeat. */
+  /** The body of the response to a heartbeat, with the first fencing token of the term. */
   private static String responseWith(String... commands) {
-    return "{\"Baton\":1,\"Calls\":[" + String.join(",", commands) + "]}";
+    return responseWithToken(1, commands);
+  }
+
+  private static String responseWithToken(int token, String... commands) {
+    return "{\"Baton\":" + token + ",\"Calls\":[" + String.join(",", commands) + "]}";
   }
 
   /** A message with direct commands to the worker of host-1, as a line. */
@@ -129,9 +133,9 @@
     controller.startAsLeader();
     FakeWorker worker = controller.launchTask("{}", "running");
     worker.endTask("wk-1/0", "halted");
-    worker.sendHeartbeat().assertIs(200, responseWith(REAP));
+    worker.sendHeartbeat().assertIs(200, responseWithToken(2, REAP));
     assertEquals(0, worker.tasks.size());
-    worker.sendHeartbeat().assertIs(200, NO_COMMANDS);
+    worker.sendHeartbeat().assertIs(200, responseWithToken(2));
   }
 
   @Test
@@ -141,8 +145,8 @@
     worker.endTask("wk-1/0", "done");
     worker.sendHeartbeat().assertIs(200, NO_COMMANDS);
     controller.loop.advance(1);
-    worker.sendHeartbeat().assertIs(200, responseWith(REAP));
-    worker.sendHeartbeat().assertIs(200, NO_COMMANDS);
+    worker.sendHeartbeat().assertIs(200, responseWithToken(2, REAP));
+    worker.sendHeartbeat().assertIs(200, responseWithToken(2));
   }
 
   @Test
--- a/src/test/java/org/saffronshore/control/FakeWorker.java
+++ b/src/test/java/org/saffronshore/control/FakeWorker.java
@@ -1,9 +1,12 @@
 package org.saffronshore.control;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +30,15 @@
   long sequence;
   long fencingToken;
 
+  /** The messages with direct commands that this worker has executed, in that order. */
+  final List<JsonNode> executedMessages = new ArrayList<>();
+
+  /** The largest number of tasks in a heartbeat of this worker so far. */
+  int maxTasksInHeartbeat;
+
+  /** The largest fencing token of a launch in this epoch, by task and attempt. */
+  private final Map<String, Long> launchTokens = new HashMap<>();
+
   /** Whether commands to this worker and the responses to its heartbeats are lost. */
   boolean inboundMessagesLost;
 
@@ -68,6 +80,7 @@
             .put("Baton", fencingToken)
             .putArray("Legs");
     tasks.values().forEach(task -> reportedTasks.add(task.deepCopy()));
+    maxTasksInHeartbeat = Math.max(maxTasksInHeartbeat, tasks.size());
     return heartbeat;
   }
 
@@ -86,6 +99,7 @@
     }
     if (loop.now() > leaseRenewedAt + TestData.LEASE_S) {
       tasks.clear();
+      launchTokens.clear();
       epoch++;
       leaseRenewedAt = loop.now();
     }
@@ -190,17 +204,31 @@
       return new Response(409, Json.bytes(heartbeat()));
     }
     fencingToken = message.get("Baton").asLong();
+    if (message.has("Shift")) {
+      executedMessages.add(message);
+    }
     for (JsonNode command : message.get("Calls")) {
       String key = command.get("Leg").asText() + "#" + command.get("Lap").asLong();
       switch (command.get("Call").asText()) {
-        case "launch" -> launch(key, command);
+        case "launch" -> {
+          launchTokens.put(key, fencingToken);
+          launch(key, command);
+        }
         case "kill" -> endTask(key, "halted");
-        default -> tasks.remove(key);
+        default -> reap(key);
       }
     }
     return new Response(200, Json.bytes(heartbeat()));
   }
 
+  /** Forgets an attempt. From now on only the fencing token keeps copies of its launch out. */
+  private void reap(String key) {
+    assertTrue(
+        fencingToken > launchTokens.getOrDefault(key, -1L),
+        () -> key + " was reaped on " + id + " with the fencing token of its launch");
+    tasks.remove(key);
+  }
+
   @SuppressWarnings(
       "ReferenceEquality") // The entry must be this one, not an equal entry of a later launch.
   private void launch(String key, JsonNode command) {
