Test: a repeated launch does not start a task outside the zone of its job

Cause: RepeatedLaunchTest had no case for wrong_place, which a launch that is executed once more can break like ran_twice, ran_cancelled and quota: one task of a SamePlace job completed in a zone, the rest runs in another one by now. Change: one more test, with the leader alive and ended.

--- a/src/test/java/org/saffronshore/control/RepeatedLaunchTest.java
+++ b/src/test/java/org/saffronshore/control/RepeatedLaunchTest.java
@@ -112,6 +112,41 @@
     repeatAllCommands();
   }
 
+  /** Guards against wrong_place: the rest of a SamePlace job runs in another zone by now. */
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void repeatedLaunchDoesNotStartTaskOutsideTheZoneOfItsJob(boolean leaderCrashes) {
+    maxMachines = 0;
+    FakeWorker first = addMachine("a");
+    FakeWorker second = addMachine("a");
+    advanceAndCheckRules(5);
+    runtimeS = 300;
+    UserView view =
+        submit(
+            leader(),
+            inSingleZone(
+                TestData.job("wk-" + ++lastJobNumber, "free", Priority.IDLE, 2, MACHINE_CPUS)));
+    advanceAndCheckRules(5);
+    assertEquals(2, activeTaskCount(view));
+    String completed = first.activeTasks().get(0);
+    first.tasks.keySet().stream()
+        .filter(key -> key.startsWith(completed + "#"))
+        .findFirst()
+        .ifPresent(key -> first.endTask(key, "done"));
+    advanceAndCheckRules(3);
+    runtimeS = 30;
+    submit(leader(), wholeMachineJob(Priority.URGENT));
+    advanceAndCheckRules(5);
+    runtimeS = 300;
+    removeMachine(second);
+    final FakeWorker elsewhere = addMachine("b");
+    advanceAndCheckRules(30);
+    assertEquals(1, activeTaskCount(view));
+    assertEquals(1, elsewhere.activeTasks().size());
+    crashLeaderIf(leaderCrashes);
+    repeatAllCommands();
+  }
+
   /** The commands of a leader must never be executed after those of its successor. */
   @Test
   void nextLeaderHasALargerFencingTokenThanWorkersHaveSeen() {
