Encode responses to heartbeats without commands once per fencing token

Cause: most responses have no commands, and were the same bytes for all machines of a term. Since a machine's fencing token may be raised, those of most machines were encoded anew for each heartbeat.

--- a/src/main/java/org/saffronshore/control/HeartbeatService.java
+++ b/src/main/java/org/saffronshore/control/HeartbeatService.java
@@ -21,8 +21,7 @@
   private final Cluster cluster;
   private final Runnable dueWork;
 
-  /** The body of a response with the term's first fencing token and without commands. */
-  private final byte[] emptyResponse;
+  private final EmptyResponseCache emptyResponses = new EmptyResponseCache();
 
   /**
    * Creates the service of one term.
@@ -33,7 +32,6 @@
     this.term = term;
     this.cluster = cluster;
     this.dueWork = dueWork;
-    this.emptyResponse = new CommandMessage(term.number(), List.of()).toHeartbeatResponse();
   }
 
   /**
@@ -55,20 +53,22 @@
       return null;
     }
     List<Command> commands = cluster.responseCommands(machine);
-    CommandMessage response = new CommandMessage(machine.fencingToken(), commands);
-    if (!commands.isEmpty()) {
-      LOG.debug(
-          "Commands in response to heartbeat: machine={} commands={} token={} epoch={} sequence={}",
-          machine.id(),
-          commands,
-          response.fencingToken(),
-          heartbeat.epoch(),
-          heartbeat.sequence());
-    }
+    byte[] response = encode(machine, heartbeat, commands);
     dueWork.run();
-    if (commands.isEmpty() && response.fencingToken() == term.number()) {
-      return emptyResponse;
+    return response;
+  }
+
+  private byte[] encode(Machine machine, Heartbeat heartbeat, List<Command> commands) {
+    if (commands.isEmpty()) {
+      return emptyResponses.body(machine.fencingToken());
     }
-    return response.toHeartbeatResponse();
+    LOG.debug(
+        "Commands in response to heartbeat: machine={} commands={} token={} epoch={} sequence={}",
+        machine.id(),
+        commands,
+        machine.fencingToken(),
+        heartbeat.epoch(),
+        heartbeat.sequence());
+    return new CommandMessage(machine.fencingToken(), commands).toHeartbeatResponse();
   }
 }
