Split the autoscaler's view of the cluster from that of the scheduling cycle

Change: CapacityView has the timelines, free resources, movable tasks and expected runtimes that the autoscaler reads. JobTable creates its own statistics of arrivals. Cluster.isRemoved had no caller and is gone. No change of behaviour; two tests call capacity() in place of view().

--- a/src/main/java/org/saffronshore/autoscaling/CapacityForecast.java
+++ b/src/main/java/org/saffronshore/autoscaling/CapacityForecast.java
@@ -31,7 +31,7 @@
    */
   List<Forecast.MachineTimeline> timelines(boolean countReleases) {
     List<Forecast.MachineTimeline> timelines =
-        cluster.view().machineTimelines(LATE_BOOT_FACTOR, countReleases);
+        cluster.capacity().machineTimelines(LATE_BOOT_FACTOR, countReleases);
     for (RentalOrder order : orders.inFlight()) {
       MachineType type = cluster.machineTypes().get(order.kind().type());
       for (int i = 0; i < order.count() && type != null; i++) {
@@ -52,6 +52,6 @@
       List<Forecast.MachineTimeline> timelines,
       List<SchedulingPlan.UnplacedTasks> queue,
       ToDoubleFunction<JobSpec> latestStart) {
-    return Forecast.lateTasks(timelines, queue, cluster::expectedRuntimeS, latestStart);
+    return Forecast.lateTasks(timelines, queue, cluster.capacity()::expectedRuntimeS, latestStart);
   }
 }
--- a/src/main/java/org/saffronshore/autoscaling/Consolidation.java
+++ b/src/main/java/org/saffronshore/autoscaling/Consolidation.java
@@ -61,7 +61,7 @@
         draining++;
         continue;
       }
-      Resources free = machine.isEmpty() ? null : cluster.view().freeResources(machine);
+      Resources free = machine.isEmpty() ? null : cluster.capacity().freeResources(machine);
       if (free != null) {
         freeByMachine.put(machine, free);
         if (isCandidate(machine, now)) {
@@ -75,7 +75,8 @@
   }
 
   private boolean isCandidate(Machine machine, double now) {
-    return cluster.view().isMovable(machine, MIN_RUN_S) && now > machine.rentedAt() + MIN_BILLED_S;
+    return cluster.capacity().isMovable(machine, MIN_RUN_S)
+        && now > machine.rentedAt() + MIN_BILLED_S;
   }
 
   private void drain(
--- a/src/main/java/org/saffronshore/autoscaling/ScaleOut.java
+++ b/src/main/java/org/saffronshore/autoscaling/ScaleOut.java
@@ -178,7 +178,7 @@
     }
     List<SchedulingPlan.UnplacedTasks> displaced =
         DisplacedTasks.find(
-            types, scarce.names(), late, cluster.view().tasksOnMachineTypes(scarce.names()));
+            types, scarce.names(), late, cluster.capacity().tasksOnMachineTypes(scarce.names()));
     if (displaced.isEmpty()) {
       return;
     }
--- a/src/main/java/org/saffronshore/autoscaling/SpareCapacity.java
+++ b/src/main/java/org/saffronshore/autoscaling/SpareCapacity.java
@@ -36,7 +36,7 @@
         .forEach(expected -> fittingTasks.put(expected, 0.0));
     for (Machine machine : cluster.machines()) {
       Resources freeOnMachine =
-          excluded.test(machine) ? null : cluster.view().freeResources(machine);
+          excluded.test(machine) ? null : cluster.capacity().freeResources(machine);
       if (freeOnMachine != null) {
         freeByMachine.put(machine, freeOnMachine);
         fittingTasks.replaceAll((expected, sum) -> sum + fittingTasksOn(machine, expected));
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -29,12 +29,8 @@
  * only what it uses. It is confined to the event loop thread.
  */
 public final class Cluster {
-  /** Length of an arrival window in worker leases; the arrival rate is taken over two windows. */
-  private static final double ARRIVAL_WINDOW_LEASES = 0.5;
-
   private final long term;
   private final double startedAt;
-  private final ArrivalStatistics arrivals;
   private final RuntimeEstimator runtimeEstimator = new RuntimeEstimator();
   private final JobTable jobs;
   private final MachineTable machines;
@@ -48,6 +44,7 @@
   private final CommandQueue commandQueue;
   private final CommandDispatcher dispatcher;
   private final ClusterView view;
+  private final CapacityView capacity;
 
   /** Whether there has been a change since the last check that may allow a task to be placed. */
   private boolean changed;
@@ -62,8 +59,7 @@
     Runnable onChange = () -> changed = true;
     this.term = tokens.first();
     this.startedAt = loop.now();
-    this.arrivals = new ArrivalStatistics(ARRIVAL_WINDOW_LEASES * settings.workerLeaseS());
-    this.jobs = new JobTable(loop, arrivals, leaderKeyVersion, onChange);
+    this.jobs = new JobTable(loop, settings, leaderKeyVersion, onChange);
     this.machines = new MachineTable(loop, settings, term);
     this.reconciliation = new Reconciliation(jobs);
     this.registry = new MachineRegistry(loop, machines, onChange);
@@ -112,7 +108,8 @@
             commandQueue,
             unresponsiveMachines,
             heartbeats);
-    this.view = new ClusterView(loop, settings, jobs, machines, reconciliation, runtimeEstimator);
+    this.view = new ClusterView(loop, settings, jobs, machines, reconciliation);
+    this.capacity = new CapacityView(loop, machines, runtimeEstimator);
   }
 
   public long term() {
@@ -130,11 +127,16 @@
     return wasChanged;
   }
 
-  /** Returns the read-only view that the scheduling cycle and the autoscaler use. */
+  /** Returns the read-only view that the scheduling cycle uses. */
   public ClusterView view() {
     return view;
   }
 
+  /** Returns the read-only view that the autoscaler uses. */
+  public CapacityView capacity() {
+    return capacity;
+  }
+
   // Jobs
 
   /** Returns a live view of the open jobs. */
@@ -216,12 +218,7 @@
   }
 
   public ArrivalStatistics arrivals() {
-    return arrivals;
-  }
-
-  /** Returns the expected runtime of a task of the job, in seconds. */
-  public double expectedRuntimeS(JobSpec job) {
-    return runtimeEstimator.expectedRuntimeS(job);
+    return jobs.arrivals();
   }
 
   // Machines
@@ -245,13 +242,6 @@
     return machines.get(id);
   }
 
-  /**
-   * Returns whether the machine has been removed. Heartbeats that still arrive from it are late.
-   */
-  public boolean isRemoved(String machineId) {
-    return machines.isRemoved(machineId);
-  }
-
   public boolean isUnreconciled(Machine machine) {
     return reconciliation.isUnreconciled(machine);
   }
--- a/src/main/java/org/saffronshore/cluster/JobTable.java
+++ b/src/main/java/org/saffronshore/cluster/JobTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.saffronshore.config.Settings;
 import org.saffronshore.fleet.ArrivalStatistics;
 import org.saffronshore.http.EventLoop;
 import org.saffronshore.wire.JobSpec;
@@ -20,6 +21,9 @@
 public final class JobTable {
   private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
 
+  /** Length of an arrival window in worker leases; the arrival rate is taken over two windows. */
+  private static final double ARRIVAL_WINDOW_LEASES = 0.5;
+
   private final EventLoop loop;
   private final ArrivalStatistics arrivals;
 
@@ -38,13 +42,18 @@
   private final Set<Job> completedJobs = new LinkedHashSet<>();
   private final Set<Job> jobsAwaitingLaunchWatermark = new LinkedHashSet<>();
 
-  JobTable(EventLoop loop, ArrivalStatistics arrivals, long leaderKeyVersion, Runnable onChange) {
+  JobTable(EventLoop loop, Settings settings, long leaderKeyVersion, Runnable onChange) {
     this.loop = loop;
-    this.arrivals = arrivals;
+    this.arrivals = new ArrivalStatistics(ARRIVAL_WINDOW_LEASES * settings.workerLeaseS());
     this.leaderKeyVersion = leaderKeyVersion;
     this.onChange = onChange;
   }
 
+  /** Returns the statistics of the jobs that have become ready. */
+  ArrivalStatistics arrivals() {
+    return arrivals;
+  }
+
   Collection<Job> all() {
     return jobs.values();
   }
--- a/src/main/java/org/saffronshore/cluster/package-info.java
+++ b/src/main/java/org/saffronshore/cluster/package-info.java
@@ -9,7 +9,7 @@
  * CommandDispatcher} prepare the commands that are sent to workers; {@code AttemptReaper} decides
  * when a worker may forget an attempt. {@code Reconciliation} tracks what earlier leaders may have
  * launched. {@code ClusterView} and {@code QuotaAccounting} present the state to the scheduling
- * cycle and the autoscaler.
+ * cycle, and {@code CapacityView} to the autoscaler.
  *
  * <p>All classes are confined to the event loop thread and send nothing themselves; that is done by
  * package {@code control}. They use the domain types of {@code wire}, {@code scheduling} and {@code
--- a/src/test/java/org/saffronshore/cluster/LateHeartbeatTest.java
+++ b/src/test/java/org/saffronshore/cluster/LateHeartbeatTest.java
@@ -130,7 +130,7 @@
     loop.advance(10);
     assertEquals(
         0,
-        cluster.view().machineTimelines(1.6, true).size(),
+        cluster.capacity().machineTimelines(1.6, true).size(),
         "the autoscaler must not rely on the machine either");
     cluster.removeUnlisted(Set.of(), loop.now() + 20);
     assertNull(cluster.machine("host-1"));
--- a/src/test/java/org/saffronshore/cluster/MachineRemovalTest.java
+++ b/src/test/java/org/saffronshore/cluster/MachineRemovalTest.java
@@ -65,7 +65,7 @@
             50,
             TERM,
             taskStatus("wk-1", 0, attempt, TaskState.RUNNING, ExitReason.NONE)));
-    assertFalse(cluster.view().isMovable(machine, 10));
+    assertFalse(cluster.capacity().isMovable(machine, 10));
     loop.advance(11);
     cluster.heartbeatReceived(
         heartbeat(
@@ -74,7 +74,7 @@
             51,
             TERM,
             taskStatus("wk-1", 0, attempt, TaskState.RUNNING, ExitReason.NONE)));
-    assertTrue(cluster.view().isMovable(machine, 10));
+    assertTrue(cluster.capacity().isMovable(machine, 10));
     cluster.drain(machine);
     assertTrue(machine.isDraining() && !machine.isSchedulable(loop.now()));
     assertFalse(hasPlaceableJob(), "the task stays on the machine until it has saved a checkpoint");
