--- a/src/main/java/org/saffronshore/api/WorkerApi.java
+++ b/src/main/java/org/saffronshore/api/WorkerApi.java
@@ -22,10 +22,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(WorkerApi.class);
 
   private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
 
   /** The status that workers understand as a redirect to another controller. */
   private static final int MISDIRECTED_REQUEST = 421;
 
+  private static final int SERVICE_UNAVAILABLE = 503;
   private static final int RETRY_AFTER_S = 1;
 
   /**
@@ -119,7 +121,7 @@
     }
     byte[] response = leader.handle(heartbeat);
     if (response == null) {
-      responder.retryLater(503, "not the leader", RETRY_AFTER_S);
+      responder.retryLater(SERVICE_UNAVAILABLE, "not the leader", RETRY_AFTER_S);
     } else {
       responder.send(OK, Responder.CONTENT_TYPE_JSON, response, 0);
     }
@@ -142,7 +144,7 @@
       return Heartbeat.parse(request.body());
     } catch (InvalidFieldException e) {
       LOG.warn("Malformed heartbeat: reason={}", e.getMessage());
-      responder.error(400, e.getMessage());
+      responder.error(BAD_REQUEST, e.getMessage());
       return null;
     }
   }
--- a/src/main/java/org/saffronshore/http/Response.java
+++ b/src/main/java/org/saffronshore/http/Response.java
@@ -34,11 +34,6 @@
     return status == STATUS_NOT_SENT;
   }
 
-  /** Returns whether the request was lost, so that it is unknown whether it took effect. */
-  public boolean isLost() {
-    return status == STATUS_LOST;
-  }
-
   /** Returns the body as a JSON tree, or null if it is not exactly one JSON value. */
   public @Nullable JsonNode json() {
     return Json.parse(body);
