PeerLeadership.grantLease takes the lease request that leadership uses

Change: peer builds the request and the process from the message; the adapter passes them on. No change of behaviour.

--- a/src/main/java/org/saffronshore/control/PeerLeadershipAdapter.java
+++ b/src/main/java/org/saffronshore/control/PeerLeadershipAdapter.java
@@ -24,24 +24,12 @@
   }
 
   @Override
-  public boolean grantLease(
-      String node,
-      String incarnation,
-      long term,
-      boolean candidate,
-      boolean stateServiceAvailableToPeer,
-      boolean stateServiceAvailable) {
-    LeaseRequest request =
-        new LeaseRequest(
-            new ControllerProcess(node, incarnation),
-            term,
-            candidate ? LeaseRequest.Role.CANDIDATE : LeaseRequest.Role.LEADER,
-            stateServiceAvailableToPeer);
+  public boolean grantLease(LeaseRequest request, boolean stateServiceAvailable) {
     return leadership.grantLease(request, stateServiceAvailable);
   }
 
   @Override
-  public void recordWithdrawal(String node, String incarnation, long term) {
-    leadership.recordWithdrawal(new ControllerProcess(node, incarnation), term);
+  public void recordWithdrawal(ControllerProcess requester, long term) {
+    leadership.recordWithdrawal(requester, term);
   }
 }
--- a/src/main/java/org/saffronshore/peer/PeerLeadership.java
+++ b/src/main/java/org/saffronshore/peer/PeerLeadership.java
@@ -1,5 +1,8 @@
 package org.saffronshore.peer;
 
+import org.saffronshore.leadership.ControllerProcess;
+import org.saffronshore.leadership.LeaseRequest;
+
 /** The part of this controller's leadership that messages between controllers use and change. */
 public interface PeerLeadership {
   /** Returns the latest term that this controller led. */
@@ -16,25 +19,15 @@
   /**
    * Grants this controller's lease to a peer, unless a rule forbids it.
    *
-   * @param node the peer's node name
-   * @param incarnation the peer's process
-   * @param term the term that the peer leads or is a candidate for
-   * @param candidate whether the peer is a candidate and does not lead yet
-   * @param stateServiceAvailableToPeer whether the state service responds to the peer
+   * @param request the peer's request
    * @param stateServiceAvailable whether the state service responds to this controller
    * @return whether the lease was granted or renewed
    */
-  boolean grantLease(
-      String node,
-      String incarnation,
-      long term,
-      boolean candidate,
-      boolean stateServiceAvailableToPeer,
-      boolean stateServiceAvailable);
+  boolean grantLease(LeaseRequest request, boolean stateServiceAvailable);
 
   /**
    * Releases the lease that this controller granted to a candidate or leader, which has withdrawn
    * from the term.
    */
-  void recordWithdrawal(String node, String incarnation, long term);
+  void recordWithdrawal(ControllerProcess requester, long term);
 }
--- a/src/main/java/org/saffronshore/peer/PeerRequestHandler.java
+++ b/src/main/java/org/saffronshore/peer/PeerRequestHandler.java
@@ -5,6 +5,8 @@
 import org.saffronshore.config.Settings;
 import org.saffronshore.http.Request;
 import org.saffronshore.http.Responder;
+import org.saffronshore.leadership.ControllerProcess;
+import org.saffronshore.leadership.LeaseRequest;
 import org.saffronshore.state.StateServiceMonitor;
 import org.saffronshore.wire.InvalidFieldException;
 import org.slf4j.Logger;
@@ -90,32 +92,35 @@
     }
     return switch (path) {
       case PeerProtocol.WITHDRAWAL_PATH -> respondToWithdrawal(message, self);
-      case PeerProtocol.VOTE_PATH -> new PeerResponse(self, tryGrantLease(message, true), null);
+      case PeerProtocol.VOTE_PATH ->
+          new PeerResponse(self, tryGrantLease(message, LeaseRequest.Role.CANDIDATE), null);
       default -> respondToHeartbeat(message, self);
     };
   }
 
   private PeerResponse respondToWithdrawal(PeerMessage message, PeerMessage self) {
-    leadership.recordWithdrawal(message.senderNode(), message.senderIncarnation(), message.term());
+    leadership.recordWithdrawal(sender(message), message.term());
     return new PeerResponse(self, false, null);
   }
 
   private PeerResponse respondToHeartbeat(PeerMessage message, PeerMessage self) {
     reachability.recordStateServiceAvailability(message);
     jobProgress.update(message);
-    boolean granted = tryGrantLease(message, false);
+    boolean granted = tryGrantLease(message, LeaseRequest.Role.LEADER);
     boolean fromLeader = message.term() != PeerMessage.NO_TERM;
     return new PeerResponse(self, granted, fromLeader ? knownCancellations.get() : null);
   }
 
-  private boolean tryGrantLease(PeerMessage message, boolean candidate) {
-    return message.term() != PeerMessage.NO_TERM
-        && leadership.grantLease(
-            message.senderNode(),
-            message.senderIncarnation(),
-            message.term(),
-            candidate,
-            message.stateServiceAvailable(),
-            stateService.isAvailable());
+  private boolean tryGrantLease(PeerMessage message, LeaseRequest.Role role) {
+    if (message.term() == PeerMessage.NO_TERM) {
+      return false;
+    }
+    LeaseRequest request =
+        new LeaseRequest(sender(message), message.term(), role, message.stateServiceAvailable());
+    return leadership.grantLease(request, stateService.isAvailable());
+  }
+
+  private static ControllerProcess sender(PeerMessage message) {
+    return new ControllerProcess(message.senderNode(), message.senderIncarnation());
   }
 }
