--- a/src/main/java/org/saffronshore/control/EmptyResponseCache.java
+++ b/src/main/java/org/saffronshore/control/EmptyResponseCache.java
@@ -8,8 +8,7 @@
 
 /**
  * The encoded responses to heartbeats that contain no commands, by fencing token. Most responses
- * are among them: few machines differ in their token, and few heartbeats are answered with
- * commands.
+ * contain none, and many machines have the same token.
  */
 @NullMarked
 final class EmptyResponseCache {
--- a/src/main/java/org/saffronshore/leadership/FencingTokens.java
+++ b/src/main/java/org/saffronshore/leadership/FencingTokens.java
@@ -13,7 +13,7 @@
 public final class FencingTokens {
   /**
    * The number of tokens in a block. The token of a machine is raised at most once per heartbeat,
-   * so a block lasts for hours, and the tokens in reserve for an outage of the state service.
+   * so a block lasts for hours, and half of one for a long outage of the state service.
    */
   private static final long BLOCK_SIZE = 1L << 14;
 
