--- a/review/lib-2/Job.java
+++ b/review/lib-2/Job.java
@@ -19,6 +19,10 @@
   public boolean spot = true;
   public boolean spread;
   public boolean samePlace;
+  /** The interval between checkpoints and the time to save one; 0: the tasks never save. */
+  public double waypointS;
+
+  public double stashS;
   public List<String> awaits = List.of();
 
   public Job(String id, String kind, String team, int tasks, double cores, double ram, double runS) {
@@ -50,8 +54,8 @@
             .put("Spread", spread)
             .put("Loaner", spot)
             .put("EtaS", runS)
-            .put("WaypointS", 0.0)
-            .put("StashS", 0.0);
+            .put("WaypointS", waypointS)
+            .put("StashS", stashS);
     if (!awaits.isEmpty()) {
       ArrayNode array = json.putArray("Awaits");
       awaits.forEach(array::add);
--- a/review/lib-2/Rules.java
+++ b/review/lib-2/Rules.java
@@ -109,6 +109,16 @@
     return lost.getOrDefault(task, 0);
   }
 
+  private final Map<String, Double> progress = new HashMap<>();
+
+  synchronized void saved(String task, double ranS) {
+    progress.merge(task, ranS, Double::sum);
+  }
+
+  synchronized double savedS(String task) {
+    return progress.getOrDefault(task, 0.0);
+  }
+
   synchronized void completed(String task) {
     kept.add(task);
   }
@@ -174,14 +184,17 @@
 
   /** Returns a job that this one needs and whose user was told before a moment that it is cancelled. */
   private String cancelledBefore(Job job, double moment) {
-    for (String awaited : job.awaits) {
+    Set<String> seen = new HashSet<>(job.awaits);
+    List<String> left = new ArrayList<>(seen);
+    while (!left.isEmpty()) {
+      String awaited = left.remove(left.size() - 1);
       Double told = cancelledAt.get(awaited);
-      Job before = known.get(awaited);
-      String deeper = before == null ? null : cancelledBefore(before, moment);
       if (told != null && told < moment) {
         return awaited;
-      } else if (deeper != null) {
-        return deeper;
+      }
+      Job before = known.get(awaited);
+      if (before != null) {
+        before.awaits.stream().filter(seen::add).forEach(left::add);
       }
     }
     return null;
--- a/review/lib-2/Worker.java
+++ b/review/lib-2/Worker.java
@@ -179,6 +179,10 @@
           return;
         }
         double now = recorder.now();
+        if (hung && now - leaseFrom > lab.leaseS && !attempts.isEmpty()) {
+          // A hanging machine executes nothing, and kills its tasks first if it goes on after this.
+          killAll("lease");
+        }
         if (!hung) {
           if (now - leaseFrom > lab.leaseS) {
             if (!attempts.isEmpty()) {
@@ -207,9 +211,11 @@
         return;
       }
       attempt.status = "running";
-      attempt.next = now + attempt.job.runS;
+      attempt.next = now + Math.max(0, attempt.job.runS - lab.rules.savedS(attempt.task));
       changed = true;
       enter(attempt);
+    } else if (attempt.status.equals("flushing") && now >= attempt.next) {
+      end(attempt, "halted");
     } else if (attempt.status.equals("running") && now >= attempt.next) {
       if (lab.sick.contains(id)) {
         end(attempt, "error");
@@ -435,7 +441,7 @@
         case "kill" -> {
           Attempt attempt = attempts.get(key);
           if (attempt != null && !attempt.status.equals("ended")) {
-            end(attempt, "halted");
+            stop(attempt, call.path("CooldownS").asDouble(0));
           }
         }
         case "reap" -> {
@@ -450,6 +456,21 @@
     }
   }
 
+  private void stop(Attempt attempt, double cooldownS) {
+    boolean saves =
+        attempt.status.equals("running")
+            && attempt.job.waypointS > 0
+            && cooldownS >= attempt.job.stashS;
+    if (saves) {
+      lab.rules.saved(attempt.task, recorder.now() - attempt.startedAt);
+      attempt.status = "flushing";
+      attempt.next = recorder.now() + attempt.job.stashS;
+      changed = true;
+    } else if (!attempt.status.equals("flushing") || cooldownS <= 0) {
+      end(attempt, "halted");
+    }
+  }
+
   private void launch(String task, long lap, String key) {
     if (attempts.containsKey(key)) {
       return;
