--- a/review/lib-2/Cloud.java
+++ b/review/lib-2/Cloud.java
@@ -40,6 +40,9 @@
   private int lastMachine;
   private boolean outage;
   public double upAfterS = 1.5;
+  /** Zones in which no machine is available. */
+  public final java.util.Set<String> zonesWithoutRoom =
+      java.util.concurrent.ConcurrentHashMap.newKeySet();
 
   Cloud(Lab lab, List<Type> types, double lagS) {
     this.lab = lab;
@@ -192,7 +195,7 @@
         types.stream().filter(each -> each.name().equals(body.get("Rig").asText())).findAny().get();
     String zone = body.get("Depot").asText();
     boolean spot = body.get("Loaner").asBoolean();
-    int left = type.perKind();
+    int left = zonesWithoutRoom.contains(zone) ? 0 : type.perKind();
     for (Rented rented : machines.values()) {
       if (!rented.gone && rented.type == type && rented.zone.equals(zone) && rented.spot == spot) {
         left--;
--- a/review/lib-2/Job.java
+++ b/review/lib-2/Job.java
@@ -19,6 +19,9 @@
   public boolean spot = true;
   public boolean spread;
   public boolean samePlace;
+  /** The only allowed zone; null for any. */
+  public String depot;
+
   /** The interval between checkpoints and the time to save one; 0: the tasks never save. */
   public double waypointS;
 
@@ -56,6 +59,9 @@
             .put("EtaS", runS)
             .put("WaypointS", waypointS)
             .put("StashS", stashS);
+    if (depot != null) {
+      json.put("Depot", depot);
+    }
     if (!awaits.isEmpty()) {
       ArrayNode array = json.putArray("Awaits");
       awaits.forEach(array::add);
--- a/review/lib-2/Lab.java
+++ b/review/lib-2/Lab.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -14,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A small deployment: controllers as processes of their own, and stand-ins for everything else. */
 public final class Lab implements AutoCloseable {
@@ -157,12 +160,26 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
   }
 
+  /**
+   * Returns a free port below those that the system gives to outgoing connections. Cases that run
+   * side by side take ports of different ranges, so that none meets a controller of another one.
+   */
   private static int freePort() throws Exception {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+    int first = 12_000 + (int) (ProcessHandle.current().pid() % 1000) * 20;
+    while (nextPort < 20) {
+      int port = first + nextPort++;
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress("127.0.0.1", port));
+        return port;
+      } catch (IOException taken) {
+        // The next port is tried.
+      }
     }
+    throw new IllegalStateException("no free port");
   }
 
+  private static int nextPort;
+
   public static String nodeName(int node) {
     return "cadre-" + node;
   }
@@ -264,6 +281,9 @@
     while (recorder.now() < until) {
       int healthy = 0;
       for (int i = 0; i < nodes; i++) {
+        if (!processes[i].isAlive()) {
+          throw new IllegalStateException(nodeName(i) + " has ended");
+        }
         healthy += isHealthy(i) ? 1 : 0;
       }
       if (healthy == nodes && leader() >= 0) {
@@ -409,6 +429,23 @@
     return gate.mode() == Gate.Mode.OPEN ? answer : new Http.Answer(0, null);
   }
 
+  /** Reports of more than 64 KiB, and those of them that were not answered with 200. */
+  public final AtomicInteger longReports = new AtomicInteger();
+
+  public final AtomicInteger longReportsRefused = new AtomicInteger();
+
+  void reported(Worker worker, ObjectNode report, Http.Answer answer) {
+    int tasks = report.get("Legs").size();
+    int length = tasks < 500 ? 0 : report.toString().length();
+    if (length > 64 * 1024) {
+      longReports.incrementAndGet();
+      if (answer.status() != 200) {
+        longReportsRefused.incrementAndGet();
+      }
+      recorder.log("%s reports %d tasks in %d bytes: %d", worker.id, tasks, length, answer.status());
+    }
+  }
+
   /** Chooses whether a copy of a message arrives once more, and after how many seconds; 0: none. */
   public interface Copies {
     double copyAfterS(String kind);
--- a/review/lib-2/StateService.java
+++ b/review/lib-2/StateService.java
@@ -99,6 +99,13 @@
     recorder.log("state: limits lowered: value_kb=%s txn_ops=%s write_rps=%s", valueKb, txnOps, writeRps);
   }
 
+  /** Stores what the controllers stored before the case began. */
+  public synchronized void put(String key, JsonNode data) {
+    ledger++;
+    change(key, data, 0);
+    notifyAll();
+  }
+
   public synchronized JsonNode value(String key) {
     Entry entry = keys.get(key);
     return entry == null ? null : entry.data;
--- a/review/lib-2/Worker.java
+++ b/review/lib-2/Worker.java
@@ -287,6 +287,7 @@
       int target = node;
       copyReport(report);
       Http.Answer answer = lab.report(target, report);
+      lab.reported(this, report, answer);
       boolean stays = false;
       boolean redirected = false;
       synchronized (this) {
