Log attempts that a newer message of their worker does not show

Cause: when a worker's message no longer shows an attempt, the leader ends it without a trace in its log, so a controller's log does not tell whether a task was placed again because of that or for another reason. Change: a debug line with the state of the attempt, its epoch and the tokens of its launches and its machine.

--- a/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
@@ -69,6 +69,7 @@
     }
     for (Attempt attempt : machine.tasks().attemptsCopy()) {
       if (!shown.contains(attempt.task()) && !attempt.isLaunching()) {
+        logNotShown(attempt);
         attempts.end(attempt);
       }
     }
@@ -79,6 +80,20 @@
     machine.tasks().recordApplied(statuses);
   }
 
+  private static void logNotShown(Attempt attempt) {
+    Machine machine = attempt.machine();
+    LOG.debug(
+        "Attempt not shown by newer message: task={} machine={} attempt={} state={} epoch={}"
+            + " launch_token={} token={}",
+        attempt.task(),
+        machine.id(),
+        attempt.number(),
+        attempt.state(),
+        machine.epochs().epoch(),
+        attempt.largestLaunchToken(),
+        machine.fencingToken());
+  }
+
   private void apply(Machine machine, Heartbeat.TaskStatus status) {
     TaskId task = status.task();
     Job openJob = jobs.get(task.job());
