Test copies of launches after a machine or a controller is back at once

Cause: the issue asks whether a task can start on two machines, or a cancelled one again, when a controller or a machine is back within a second and a copy of a launch arrives later that was executed and answered. No test had a machine that loses its tasks and continues its epoch, nor did the random faults repeat commands. Simulated workers lose power, refuse a task that they have with another attempt, and get copies of executed commands. RandomFaultsTest has both faults in its plays, and a play in which machines and controllers are back at once, again and again.

--- a/src/test/java/org/saffronshore/control/ClusterSimulation.java
+++ b/src/test/java/org/saffronshore/control/ClusterSimulation.java
@@ -63,6 +63,9 @@
   /** The fraction of the commands to workers that arrive late. */
   double delayedCommandShare;
 
+  /** The fraction of the executed direct commands of which a copy arrives later. */
+  double repeatedCommandShare;
+
   /** The fraction of the transactions that time out and are executed late. */
   double delayedCommitShare;
 
--- a/src/test/java/org/saffronshore/control/FakeWorker.java
+++ b/src/test/java/org/saffronshore/control/FakeWorker.java
@@ -98,14 +98,31 @@
       return;
     }
     if (loop.now() > leaseRenewedAt + TestData.LEASE_S) {
-      tasks.clear();
-      launchTokens.clear();
-      epoch++;
-      leaseRenewedAt = loop.now();
+      beginEpoch();
     }
     loop.schedule(0.1, this::checkLease);
   }
 
+  private void beginEpoch() {
+    tasks.clear();
+    launchTokens.clear();
+    epoch++;
+    leaseRenewedAt = loop.now();
+  }
+
+  /**
+   * Simulates a machine that is without power for a moment: its tasks are gone, and its worker
+   * continues with the next sequence number.
+   *
+   * @param newEpoch whether the worker begins a new epoch
+   */
+  void losePower(boolean newEpoch) {
+    if (newEpoch) {
+      beginEpoch();
+    }
+    tasks.clear();
+  }
+
   void sendHeartbeat() {
     if (removed) {
       return;
@@ -206,6 +223,7 @@
     fencingToken = message.get("Baton").asLong();
     if (message.has("Shift")) {
       executedMessages.add(message);
+      repeatLater(message);
     }
     for (JsonNode command : message.get("Calls")) {
       String key = command.get("Leg").asText() + "#" + command.get("Lap").asLong();
@@ -221,6 +239,22 @@
     return new Response(200, Json.bytes(heartbeat()));
   }
 
+  /** Delivers a copy of some of the direct commands that were executed. */
+  private void repeatLater(JsonNode message) {
+    double share = simulation.repeatedCommandShare;
+    if (share > 0 && simulation.random.nextDouble() < share) {
+      loop.schedule(
+          2 * TestData.LEASE_S * simulation.random.nextDouble(),
+          () ->
+              runWhenResponsive(
+                  () -> {
+                    if (!removed && !inboundMessagesLost) {
+                      handleCommands(message);
+                    }
+                  }));
+    }
+  }
+
   /** Forgets an attempt. From now on only the fencing token keeps copies of its launch out. */
   private void reap(String key) {
     assertTrue(
@@ -234,13 +268,12 @@
   private void launch(String key, JsonNode command) {
     if (!tasks.containsKey(key)) {
       String task = command.get("Leg").asText();
+      if (activeTasks().contains(task)) {
+        tasks.put(key, statusOf(command).put("Status", "ended").put("Cause", "in_use"));
+        return;
+      }
       simulation.startedTasks.add(task);
-      tasks.put(
-          key,
-          Json.object()
-              .put("Leg", task)
-              .put("Lap", command.get("Lap").asLong())
-              .put("Status", "running"));
+      tasks.put(key, statusOf(command).put("Status", "running"));
       simulation.onTaskStarted(this, task);
       ObjectNode entry = tasks.get(key);
       double runtimeS =
@@ -261,6 +294,12 @@
     }
   }
 
+  private static ObjectNode statusOf(JsonNode launch) {
+    return Json.object()
+        .put("Leg", launch.get("Leg").asText())
+        .put("Lap", launch.get("Lap").asLong());
+  }
+
   void endTask(String key, String reason) {
     if (tasks.containsKey(key) && !tasks.get(key).has("Cause")) {
       tasks.get(key).put("Status", "ended").put("Cause", reason);
--- a/src/test/java/org/saffronshore/control/RandomFaultsTest.java
+++ b/src/test/java/org/saffronshore/control/RandomFaultsTest.java
@@ -8,7 +8,9 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.saffronshore.TestData;
 import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.Priority;
 
 /**
  * Random faults on three complete controllers. The rules must hold throughout, and every job must
@@ -58,7 +60,8 @@
 
   /**
    * A team is at its quota. All controllers crash twice within 15 s, each time during a short
-   * outage of the state service, while some machines hang and users cancel jobs.
+   * outage of the state service, while some machines hang or are without power for a moment, copies
+   * of commands arrive, and users cancel jobs.
    */
   @ParameterizedTest
   @MethodSource("seeds")
@@ -66,6 +69,7 @@
     random.setSeed(seed);
     runtimeS = 2 * DEFAULT_RUNTIME_S;
     randomRuntimes = true;
+    repeatedCommandShare = 0.3;
     for (int round = 0; round < 3; round++) {
       submitUntilOpen(6);
       advanceAndCheckRules(8);
@@ -76,6 +80,7 @@
       }
       advanceAndCheckRules(3 + 6 * random.nextDouble());
       for (int restart = 0; restart < 2; restart++) {
+        interruptPowerOfRandomMachines();
         restartAllControllersDuringAnOutage();
         advanceAndCheckRules(2 + 4 * random.nextDouble());
         cancelRandomActiveJob();
@@ -89,6 +94,44 @@
     assertTrue(startedTasks.size() > 10, () -> startedTasks.size() + " started tasks");
   }
 
+  /**
+   * Machines and controllers are back within a second, again and again, and copies of half of the
+   * commands arrive. Tasks stay on their machines, move to others or are cancelled.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void rulesHoldWhenMachinesAndControllersAreBackAtOnce(int seed) {
+    random.setSeed(seed);
+    runtimeS = 2 * DEFAULT_RUNTIME_S;
+    randomRuntimes = true;
+    repeatedCommandShare = 0.5;
+    for (int round = 0; round < 12; round++) {
+      submit(randomController(), job(2));
+      submit(
+          randomController(),
+          TestData.job("wk-" + ++lastJobNumber, "free", Priority.STANDARD, 3, TASK_CPUS));
+      advanceAndCheckRules(2 + 6 * random.nextDouble());
+      interruptPowerOfRandomMachines();
+      if (random.nextInt(2) == 0) {
+        restartControllerAtOnce("n-" + random.nextInt(3));
+      }
+      if (random.nextInt(2) == 0) {
+        cancelRandomActiveJob();
+      }
+      advanceAndCheckRules(4 * random.nextDouble());
+    }
+    clearFaults();
+    runtimeS = 1;
+    awaitEveryJobEnds();
+    assertTrue(startedTasks.size() > 10, () -> startedTasks.size() + " started tasks");
+  }
+
+  private void restartControllerAtOnce(String name) {
+    processes.get(name).crashed = true;
+    advanceAndCheckRules(random.nextDouble());
+    startController(name);
+  }
+
   /**
    * Crashes all controllers during an outage of the state service, and restarts them within 0.2 s.
    */
@@ -130,7 +173,7 @@
   private void toggleRandomFault() {
     ControllerProcess target = processes.get("n-" + random.nextInt(3));
     ControllerProcess leader = leader();
-    switch (random.nextInt(16)) {
+    switch (random.nextInt(18)) {
       case 0 -> target.refusedByStateService = !target.refusedByStateService;
       case 1 -> {
         if (leader != null) {
@@ -167,12 +210,23 @@
       case 11 -> delayedCommitShare = random.nextInt(2) * 0.3;
       case 12 -> delayedCommandShare = random.nextInt(2) * 0.3;
       case 13 -> duplicatedHeartbeatShare = random.nextInt(2) * 0.3;
+      case 14 -> repeatedCommandShare = random.nextInt(2) * 0.3;
+      case 15 -> interruptPowerOfRandomMachines();
       default -> {
         // No change: the current faults continue.
       }
     }
   }
 
+  /** Lets about a third of the machines be without power for a moment. */
+  private void interruptPowerOfRandomMachines() {
+    for (FakeWorker worker : workers.values()) {
+      if (random.nextInt(3) == 0) {
+        worker.losePower(random.nextInt(4) == 0);
+      }
+    }
+  }
+
   /** Sends a random user request to a random controller. */
   private void sendRandomUserRequest() {
     ControllerProcess controller = processes.get("n-" + random.nextInt(3));
--- a/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
+++ b/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
@@ -307,6 +307,7 @@
   void clearFaults() {
     delayedCommitShare = 0;
     delayedCommandShare = 0;
+    repeatedCommandShare = 0;
     duplicatedHeartbeatShare = 0;
     setOutage(false, Double.isNaN(outageStartedAt) ? 0 : loop.now() - outageStartedAt);
     outageStartedAt = Double.NaN;
