Move the delivery of an attempt's launches into a class of its own

Change: LaunchDelivery has the state of the launches and their largest token; its methods are named for what they tell.

--- a/src/main/java/org/saffronshore/cluster/Attempt.java
+++ b/src/main/java/org/saffronshore/cluster/Attempt.java
@@ -43,23 +43,7 @@
   private double gracePeriodS;
   private double stopSentAt = Double.NEGATIVE_INFINITY;
 
-  /**
-   * Whether a launch of the attempt has been sent, by any leader. Becomes false again if it is
-   * certain that no launch was executed or can still arrive.
-   */
-  private boolean launchSent;
-
-  /** The number of launches sent in direct commands whose outcome is not known yet. */
-  private int launchesInFlight;
-
-  /**
-   * Whether a launch was sent whose arrival is unknown. Such a launch may still arrive, and is
-   * executed if its fencing token and epoch match those of the worker.
-   */
-  private boolean deliveryUnknown;
-
-  /** See {@link #largestLaunchToken()}. */
-  private long largestLaunchToken;
+  private final LaunchDelivery launch = new LaunchDelivery();
 
   /** See {@link #runningSince()}. */
   private double runningSince = Double.NaN;
@@ -229,75 +213,8 @@
     return stopping && now >= stopSentAt + repeatAfterS;
   }
 
-  // Launch delivery
-
-  boolean isLaunchSent() {
-    return launchSent;
-  }
-
-  /** Returns whether the outcome of a direct command with the launch is still to come. */
-  boolean isLaunchInFlight() {
-    return launchesInFlight > 0;
-  }
-
-  /** Returns whether a launch was sent whose arrival is unknown. */
-  boolean isDeliveryUnknown() {
-    return deliveryUnknown;
-  }
-
-  /**
-   * Returns whether a launch may still reach the worker. While this is so, the attempt must not be
-   * forgotten, since a late launch would start it again.
-   */
-  boolean launchMayArrive() {
-    return deliveryUnknown || launchesInFlight > 0;
-  }
-
-  /** Marks the attempt as launched by an earlier leader, since a worker has reported it. */
-  void markAdopted() {
-    launchSent = true;
-  }
-
-  /**
-   * Returns the largest fencing token with which a launch of the attempt may have been sent in this
-   * term; 0 if only earlier leaders launched it.
-   */
-  long largestLaunchToken() {
-    return largestLaunchToken;
-  }
-
-  /** Records that a launch of the attempt was, or may have been, sent with a fencing token. */
-  void launchSentWith(long fencingToken) {
-    largestLaunchToken = Math.max(largestLaunchToken, fencingToken);
-  }
-
-  /** Records that the launch was sent in a direct command. */
-  void launchSent() {
-    launchSent = true;
-    launchesInFlight++;
-  }
-
-  /** Records that the launch is sent in a response to a heartbeat, whose arrival is unconfirmed. */
-  void launchSentWithoutConfirmation() {
-    launchSent = true;
-    deliveryUnknown = true;
-  }
-
-  /**
-   * Records the outcome of a direct command with the launch.
-   *
-   * @return whether no launch of the attempt was executed or can still arrive, so that the launch
-   *     now counts as not sent
-   */
-  boolean launchCompleted(DeliveryOutcome outcome) {
-    launchesInFlight--;
-    if (outcome == DeliveryOutcome.UNKNOWN) {
-      deliveryUnknown = true;
-    }
-    if (outcome == DeliveryOutcome.NOT_EXECUTED && isLaunching() && !launchMayArrive()) {
-      launchSent = false;
-      return true;
-    }
-    return false;
+  /** Returns what is known of the delivery of the attempt's launches. */
+  LaunchDelivery launch() {
+    return launch;
   }
 }
--- a/src/main/java/org/saffronshore/cluster/AttemptLifecycle.java
+++ b/src/main/java/org/saffronshore/cluster/AttemptLifecycle.java
@@ -152,7 +152,7 @@
     }
     attempt.requestStop(graceS);
     attempt.machine().invalidateView();
-    if (attempt.isLaunching() && !attempt.isLaunchSent()) {
+    if (attempt.isLaunching() && !attempt.launch().isSent()) {
       end(attempt);
     } else {
       commandQueue.markDue(attempt.machine());
@@ -215,7 +215,7 @@
           attempt.machine().id(),
           attempt.number(),
           attempt.machine().epochs().epoch(),
-          attempt.largestLaunchToken(),
+          attempt.launch().largestToken(),
           attempt.machine().delivery().confirmedToken());
     }
     endOnceFenced(attempt);
--- a/src/main/java/org/saffronshore/cluster/AttemptReaper.java
+++ b/src/main/java/org/saffronshore/cluster/AttemptReaper.java
@@ -65,8 +65,8 @@
    * worker has not confirmed a larger fencing token than that of each launch.
    */
   boolean mayStartAgain(Attempt attempt) {
-    return attempt.largestLaunchToken() > 0
-        && attempt.largestLaunchToken() >= attempt.machine().delivery().confirmedToken();
+    return attempt.launch().largestToken() > 0
+        && attempt.launch().largestToken() >= attempt.machine().delivery().confirmedToken();
   }
 
   /** Returns whether the machine has an attempt that is over and cannot start again. */
@@ -144,7 +144,7 @@
 
   /** Returns whether the machine's next message has a larger token than each of the launches. */
   private static boolean isFenced(Attempt attempt) {
-    return attempt.largestLaunchToken() < attempt.machine().fencingToken();
+    return attempt.launch().largestToken() < attempt.machine().fencingToken();
   }
 
   /**
@@ -152,7 +152,7 @@
    * stored yet, or it is unknown whether a launch of it has arrived.
    */
   private boolean isNeeded(Attempt attempt) {
-    if (attempt.launchMayArrive()) {
+    if (attempt.launch().mayArrive()) {
       return true;
     }
     Job job = jobs.get(attempt.task().job());
--- a/src/main/java/org/saffronshore/cluster/CommandBuilder.java
+++ b/src/main/java/org/saffronshore/cluster/CommandBuilder.java
@@ -43,7 +43,7 @@
       return true;
     }
     for (Attempt attempt : machine.attempts()) {
-      if ((isLaunchDue(attempt) && !attempt.isLaunchInFlight()) || isStopDue(attempt)) {
+      if ((isLaunchDue(attempt) && !attempt.launch().isInFlight()) || isStopDue(attempt)) {
         return true;
       }
     }
@@ -111,18 +111,18 @@
     if (!isLaunchDue(attempt)) {
       return;
     }
-    if (!direct && attempt.machine().delivery().isFailing() && !attempt.isLaunchInFlight()) {
+    if (!direct && attempt.machine().delivery().isFailing() && !attempt.launch().isInFlight()) {
       // The worker can reach this controller, perhaps through a peer, but this controller cannot
       // reach the worker, so launches are sent in the responses to its heartbeats.
-      attempt.launchSentWithoutConfirmation();
+      attempt.launch().sentInResponse();
     }
-    if (direct ? attempt.isLaunchInFlight() : !attempt.isDeliveryUnknown()) {
+    if (direct ? attempt.launch().isInFlight() : !attempt.launch().isOutcomeUnknown()) {
       return;
     }
     commands.add(Command.launch(attempt.task(), attempt.number()));
     launches.add(attempt);
     long token = attempt.machine().fencingToken();
-    attempt.launchSentWith(token);
+    attempt.launch().sentWith(token);
     tokens.launchSent(token);
     if (attempt.isStopping()) {
       commands.add(Command.stop(attempt.task(), attempt.number(), 0));
@@ -134,7 +134,7 @@
     if (!attempt.isLaunching()) {
       return false;
     }
-    if (attempt.isLaunchSent()) {
+    if (attempt.launch().isSent()) {
       return true;
     }
     Job job = jobs.get(attempt.task().job());
--- a/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
@@ -59,7 +59,7 @@
     }
     List<Attempt> launches = new ArrayList<>();
     List<Command> commands = commandBuilder.directCommands(machine, launches);
-    launches.forEach(Attempt::launchSent);
+    launches.forEach(attempt -> attempt.launch().sentDirectly());
     machine.delivery().batchSent();
     // The epoch is a guess if the current one is not known. A wrong guess is harmless: the worker
     // executes nothing, and its rejection contains the right epoch.
@@ -112,7 +112,7 @@
   }
 
   private void launchCompleted(Attempt attempt, DeliveryOutcome outcome) {
-    boolean neverSent = attempt.launchCompleted(outcome);
+    boolean neverSent = attempt.launch().completed(outcome, !attempt.isLaunching());
     if (neverSent && attempt.isStopping() && attempt.isOnMachine()) {
       attempts.end(attempt);
     }
@@ -123,7 +123,7 @@
    * has shown the attempt.
    */
   private static boolean shouldBeShown(Attempt attempt) {
-    return attempt.isLaunching() && !attempt.launchMayArrive() && attempt.isOnMachine();
+    return attempt.isLaunching() && !attempt.launch().mayArrive() && attempt.isOnMachine();
   }
 
   /**
@@ -131,7 +131,7 @@
    * it cannot start any more. If one was executed, the worker has lost the attempt since.
    */
   private void handleNotShown(Attempt attempt) {
-    if (attempt.isLaunchSent()) {
+    if (attempt.launch().isSent()) {
       attempts.lost(attempt);
     } else {
       attempts.end(attempt);
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -318,9 +318,9 @@
     return tasks.attempts().isEmpty();
   }
 
-  /** Returns the CPUs of all attempts whose size is known. */
+  /** Returns the CPUs of all attempts that occupy the machine and whose size is known. */
   public double usedCpus() {
-    return tasks.attempts().stream()
+    return tasks.active().stream()
         .map(Attempt::job)
         .mapToDouble(job -> job == null ? 0 : job.cpus())
         .sum();
--- a/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
@@ -75,7 +75,7 @@
     machine
         .tasks()
         .exited()
-        .removeIf(attempt -> !shown.contains(attempt.task()) && !attempt.launchMayArrive());
+        .removeIf(attempt -> !shown.contains(attempt.task()) && !attempt.launch().mayArrive());
     machine.tasks().recordApplied(statuses);
   }
 
@@ -93,7 +93,7 @@
           new Attempt(
               task, status.attempt(), machine, job == null ? null : job.spec(), loop.now(), false);
       if (attempts.wasPlacedInThisTerm(attempt)) {
-        attempt.launchSentWith(machine.fencingToken());
+        attempt.launch().sentWith(machine.fencingToken());
       }
       if (exited) {
         handleExit(attempt, status.exitReason(), job);
@@ -133,10 +133,10 @@
   /** Adopts an attempt that an earlier leader launched, and stops it if it is no longer needed. */
   private void adopt(Attempt attempt, @Nullable Job job) {
     Attempt replaced = attempt.machine().adoptAttempt(attempt);
-    attempt.markAdopted();
+    attempt.launch().markAdopted();
     if (replaced != null) {
       // A launch of the replaced attempt may still arrive, and would start the task too.
-      attempt.launchSentWith(replaced.largestLaunchToken());
+      attempt.launch().sentWith(replaced.launch().largestToken());
     }
     if (job != null) {
       job.addAttempt(attempt);
--- a/src/main/java/org/saffronshore/cluster/UnresponsiveMachineDetector.java
+++ b/src/main/java/org/saffronshore/cluster/UnresponsiveMachineDetector.java
@@ -82,7 +82,7 @@
   private boolean hasOverdueLaunch(Machine machine, double toleratedS) {
     for (Attempt attempt : machine.attempts()) {
       if (attempt.isLaunching()
-          && attempt.isDeliveryUnknown()
+          && attempt.launch().isOutcomeUnknown()
           && machines.listeningTimeS(attempt.createdAt()) > toleratedS) {
         return true;
       }
--- a/src/main/java/org/saffronshore/leadership/FencingTokens.java
+++ b/src/main/java/org/saffronshore/leadership/FencingTokens.java
@@ -12,7 +12,7 @@
  */
 public final class FencingTokens {
   /**
-   * The number of tokens in a block. The token of a machine is raised at most once per heartbeat,
+   * The number of tokens in a block. The token of a machine is raised at most once for each launch,
    * so a block lasts for hours, and half of one for a long outage of the state service.
    */
   private static final long BLOCK_SIZE = 1L << 14;
