--- a/src/main/java/org/saffronshore/cluster/Attempt.java
+++ b/src/main/java/org/saffronshore/cluster/Attempt.java
@@ -6,7 +6,9 @@
 
 /**
  * An attempt to run a task on one machine. It exists from the decision to launch it until it is
- * certain that it does not run and cannot start any more.
+ * certain that it does not run and cannot start any more. An attempt that is over, because its
+ * worker has reported its exit or does not report it any more, may therefore still exist: {@link
+ * AttemptReaper} decides for how long.
  */
 public final class Attempt {
 
@@ -17,7 +19,9 @@
     PULLING_IMAGE,
     RUNNING,
     CHECKPOINTING,
-    EXITED
+    EXITED,
+    /** The worker should show the attempt in its newest message, and does not. */
+    LOST
   }
 
   private final TaskId task;
@@ -134,6 +138,14 @@
     return state == State.LAUNCHING;
   }
 
+  /**
+   * Returns whether the attempt is not on its machine any more, according to the worker's newest
+   * message.
+   */
+  boolean isOver() {
+    return state == State.EXITED || state == State.LOST;
+  }
+
   /** Returns whether the attempt is running, which includes saving a checkpoint. */
   boolean isRunningOrCheckpointing() {
     return state == State.RUNNING || state == State.CHECKPOINTING;
@@ -177,6 +189,10 @@
     state = State.EXITED;
   }
 
+  void markLost() {
+    state = State.LOST;
+  }
+
   /** Marks the task as completed by this attempt. */
   void markCompleted() {
     completed = true;
--- a/src/main/java/org/saffronshore/cluster/AttemptLifecycle.java
+++ b/src/main/java/org/saffronshore/cluster/AttemptLifecycle.java
@@ -26,6 +26,7 @@
   private final JobTable jobs;
   private final MachineTable machines;
   private final CommandQueue commandQueue;
+  private final AttemptReaper reaper;
   private final RuntimeEstimator runtimeEstimator;
 
   /** Called after each change that may allow a task to be placed. */
@@ -40,6 +41,7 @@
       JobTable jobs,
       MachineTable machines,
       CommandQueue commandQueue,
+      AttemptReaper reaper,
       RuntimeEstimator runtimeEstimator,
       Runnable onChange) {
     this.loop = loop;
@@ -48,6 +50,7 @@
     this.jobs = jobs;
     this.machines = machines;
     this.commandQueue = commandQueue;
+    this.reaper = reaper;
     this.runtimeEstimator = runtimeEstimator;
     this.onChange = onChange;
   }
@@ -177,7 +180,7 @@
    */
   void handlePreemptionNotice(Machine machine, double noticeS) {
     double now = loop.now();
-    for (Attempt attempt : machine.tasks().attemptsCopy()) {
+    for (Attempt attempt : machine.tasks().active()) {
       JobSpec job = attempt.job();
       if (job == null || attempt.isStopping()) {
         continue;
@@ -194,11 +197,51 @@
   /** Stops all attempts on a machine gracefully, so that their tasks are placed elsewhere. */
   void drain(Machine machine) {
     machine.markDraining();
-    for (Attempt attempt : machine.tasks().attemptsCopy()) {
+    for (Attempt attempt : machine.tasks().active()) {
       stopGracefully(attempt, StopReason.DRAIN);
     }
   }
 
+  /**
+   * Handles an attempt that its worker should show in its newest message, and does not. It ends
+   * once no copy of its launch can start it.
+   */
+  void lost(Attempt attempt) {
+    if (!attempt.isOver()) {
+      attempt.markLost();
+      LOG.debug(
+          "Attempt lost: task={} machine={} attempt={} epoch={} launch_token={} token={}",
+          attempt.task(),
+          attempt.machine().id(),
+          attempt.number(),
+          attempt.machine().epochs().epoch(),
+          attempt.largestLaunchToken(),
+          attempt.machine().delivery().confirmedToken());
+    }
+    endOnceFenced(attempt);
+  }
+
+  /** Ends an attempt that is over, at once or when no copy of its launch can start it any more. */
+  void endOnceFenced(Attempt attempt) {
+    if (attempt.isOnMachine() && reaper.mayStartAgain(attempt)) {
+      attempt.machine().invalidateView();
+    } else {
+      end(attempt);
+    }
+  }
+
+  /** Ends the attempts on a machine that are over and that no copy of a launch can start. */
+  void endFenced(Machine machine) {
+    if (!reaper.hasFencedAttempt(machine)) {
+      return;
+    }
+    for (Attempt attempt : machine.tasks().attemptsCopy()) {
+      if (attempt.isOver() && !reaper.mayStartAgain(attempt)) {
+        end(attempt);
+      }
+    }
+  }
+
   /**
    * Removes an attempt that is not running and can no longer start. Its task may be placed again
    * unless it is finished or has another attempt.
--- a/src/main/java/org/saffronshore/cluster/CapacityView.java
+++ b/src/main/java/org/saffronshore/cluster/CapacityView.java
@@ -40,7 +40,7 @@
       return null;
     }
     Resources free = Resources.capacityOf(type);
-    for (Attempt attempt : machine.attempts()) {
+    for (Attempt attempt : machine.tasks().active()) {
       free.subtract(
           Objects.requireNonNull(
               attempt.job(), "all tasks on a schedulable machine must belong to known jobs"));
@@ -81,7 +81,7 @@
     Forecast.MachineTimeline timeline =
         new Forecast.MachineTimeline(
             machine.kind(), free, Math.max(now, machine.health().backoffUntil()));
-    for (Attempt attempt : machine.attempts()) {
+    for (Attempt attempt : machine.tasks().active()) {
       JobSpec job = attempt.job();
       if (job == null) {
         continue;
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -22,8 +22,8 @@
  * The state of the cluster as known to one leader during its term: the machines, the jobs, and
  * where each task is or may be. Every term rebuilds it from the state service and from heartbeats.
  * A task counts as being on a machine until there is proof that it is not there and cannot start
- * there: a newer heartbeat, a newer epoch, a lease that must have expired, or a statement of the
- * cloud that the machine no longer exists.
+ * there: a newer heartbeat with a fencing token that keeps copies of its launch out, a newer epoch,
+ * a lease that must have expired, or a statement of the cloud that the machine no longer exists.
  *
  * <p>This class creates the components of one term and is their facade; each component receives
  * only what it uses. It is confined to the event loop thread.
@@ -63,22 +63,15 @@
     this.machines = new MachineTable(loop, settings, term);
     this.reconciliation = new Reconciliation(jobs);
     this.registry = new MachineRegistry(loop, machines, onChange);
-    this.commandBuilder = new CommandBuilder(loop, settings, jobs, tokens);
+    AttemptReaper reaper = new AttemptReaper(jobs, tokens);
+    this.commandBuilder = new CommandBuilder(loop, settings, jobs, tokens, reaper);
     this.commandQueue = new CommandQueue(commandBuilder);
     this.attempts =
         new AttemptLifecycle(
-            loop, settings, term, jobs, machines, commandQueue, runtimeEstimator, onChange);
+            loop, settings, term, jobs, machines, commandQueue, reaper, runtimeEstimator, onChange);
     this.machineLifecycle =
         new MachineLifecycle(
-            loop,
-            settings,
-            startedAt,
-            machines,
-            reconciliation,
-            attempts,
-            registry,
-            commandQueue,
-            onChange);
+            loop, settings, machines, reconciliation, attempts, registry, commandQueue, onChange);
     this.unresponsiveMachines =
         new UnresponsiveMachineDetector(loop, settings, machines, commandQueue, onChange);
     TaskStatusReconciler taskStatuses =
--- a/src/main/java/org/saffronshore/cluster/CommandBuilder.java
+++ b/src/main/java/org/saffronshore/cluster/CommandBuilder.java
@@ -20,18 +20,23 @@
   private final FencingTokens tokens;
   private final AttemptReaper reaper;
 
-  CommandBuilder(EventLoop loop, Settings settings, JobTable jobs, FencingTokens tokens) {
+  CommandBuilder(
+      EventLoop loop,
+      Settings settings,
+      JobTable jobs,
+      FencingTokens tokens,
+      AttemptReaper reaper) {
     this.loop = loop;
     this.settings = settings;
     this.jobs = jobs;
     this.tokens = tokens;
-    this.reaper = new AttemptReaper(jobs, tokens);
+    this.reaper = reaper;
   }
 
   /**
    * Returns whether there is anything to send to the machine. A machine that does not know this
-   * term yet, or that shows no sign of receiving messages, is always sent a batch, even an empty
-   * one.
+   * term yet, that shows no sign of receiving messages, or that needs only a larger fencing token,
+   * is sent a batch too, even an empty one.
    */
   boolean hasCommands(Machine machine) {
     if (!machine.isReconciled() || machine.health().isUnresponsive()) {
@@ -42,17 +47,18 @@
         return true;
       }
     }
-    return false;
+    return reaper.isFencingDue(machine);
   }
 
   /**
-   * Returns the commands for a direct batch.
+   * Returns the commands for a direct batch. May raise the machine's fencing token.
    *
    * @param launches the list to which the attempts that the batch launches are added
    */
   List<Command> directCommands(Machine machine, List<Attempt> launches) {
     List<Command> commands = new ArrayList<>();
     if (machine.isReconciled()) {
+      reaper.raiseTokenForDirectBatch(machine);
       addCommands(machine, commands, launches, true);
     }
     return commands;
@@ -65,7 +71,7 @@
   List<Command> responseCommands(Machine machine) {
     List<Command> commands = new ArrayList<>();
     if (machine.isReconciled()) {
-      reaper.raiseTokenIfDue(machine);
+      reaper.raiseTokenForResponse(machine);
       addCommands(machine, commands, new ArrayList<>(), false);
     }
     return commands;
@@ -136,6 +142,7 @@
   }
 
   private boolean isStopDue(Attempt attempt) {
-    return attempt.isStopDue(loop.now(), settings.heartbeatIntervalS() * 2 / 3);
+    return !attempt.isOver()
+        && attempt.isStopDue(loop.now(), settings.heartbeatIntervalS() * 2 / 3);
   }
 }
--- a/src/main/java/org/saffronshore/cluster/CommandDelivery.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDelivery.java
@@ -2,8 +2,8 @@
 
 /**
  * The state of the delivery of commands to one machine's worker: the fencing token of all messages
- * to it, and its direct commands, of which at most one batch is in flight. Failures delay the next
- * batch.
+ * to it, the token that the worker has confirmed, and its direct commands, of which at most one
+ * batch is in flight. Failures delay the next batch.
  */
 final class CommandDelivery {
   /** Consecutive failures beyond this number do not extend the backoff any further. */
@@ -13,6 +13,7 @@
   private int consecutiveFailures;
   private double nextBatchAt = Double.NEGATIVE_INFINITY;
   private long fencingToken;
+  private long confirmedToken;
 
   CommandDelivery(long firstFencingToken) {
     this.fencingToken = firstFencingToken;
@@ -31,6 +32,20 @@
     fencingToken = Math.max(fencingToken, token);
   }
 
+  /**
+   * Returns the largest fencing token that the worker has seen, according to its newest message. It
+   * rejects messages with a smaller one.
+   */
+  long confirmedToken() {
+    return confirmedToken;
+  }
+
+  /** Records the largest fencing token that the worker has seen, from its newest message. */
+  void tokenConfirmed(long token) {
+    confirmedToken = token;
+    raiseFencingToken(token);
+  }
+
   boolean isInFlight() {
     return inFlight;
   }
--- a/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
+++ b/src/main/java/org/saffronshore/cluster/CommandDispatcher.java
@@ -102,9 +102,9 @@
       delivery.failed(loop.now(), settings.heartbeatIntervalS() / BACKOFF_DIVISOR);
     }
     if (status != null) {
-      // The worker has executed or rejected the launches. An attempt that its status still does not
-      // show, and whose launch cannot arrive any more, is not on the machine.
-      batch.launches().stream().filter(CommandDispatcher::cannotStart).forEach(attempts::end);
+      batch.launches().stream()
+          .filter(CommandDispatcher::shouldBeShown)
+          .forEach(this::handleNotShown);
     }
     if (machines.contains(machine)) {
       commandQueue.markDueIfHasCommands(machine);
@@ -119,13 +119,25 @@
   }
 
   /**
-   * Returns whether the attempt can no longer start: its machine still counts it, but no status has
-   * shown it and no launch of it can arrive any more.
+   * Returns whether the worker has executed or rejected each launch of the attempt, and no status
+   * has shown the attempt.
    */
-  private static boolean cannotStart(Attempt attempt) {
+  private static boolean shouldBeShown(Attempt attempt) {
     return attempt.isLaunching() && !attempt.launchMayArrive() && attempt.isOnMachine();
   }
 
+  /**
+   * Handles an attempt whose launches were answered and that no status shows. If they were rejected
+   * it cannot start any more. If one was executed, the worker has lost the attempt since.
+   */
+  private void handleNotShown(Attempt attempt) {
+    if (attempt.isLaunchSent()) {
+      attempts.lost(attempt);
+    } else {
+      attempts.end(attempt);
+    }
+  }
+
   /** Queues the machines whose commands are still due, so that failed batches are repeated. */
   void requeueRetryable() {
     for (Machine machine : machines.all()) {
--- a/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
@@ -100,7 +100,7 @@
       beginEpoch(machine, heartbeat.epoch());
     }
     machine.epochs().advanceTo(heartbeat.sequence());
-    machine.delivery().raiseFencingToken(heartbeat.fencingToken());
+    machine.delivery().tokenConfirmed(heartbeat.fencingToken());
     machine.lease().newestMessageReceived(loop.now());
     if (!machine.isUp()) {
       markUp(machine);
@@ -117,6 +117,7 @@
     if (newlyReconciled || firstNotice || !machine.tasks().isUpToDateWith(heartbeat.tasks())) {
       applyChanges(machine, heartbeat, firstNotice, newlyReconciled);
     }
+    attempts.endFenced(machine);
     commandQueue.markDueIfHasCommands(machine);
   }
 
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -369,7 +369,7 @@
       view =
           new MachineView(
               id, kind(), Resources.capacityOf(machineType), tasks::hasRecordOf, images.images());
-      for (Attempt attempt : tasks.attempts()) {
+      for (Attempt attempt : tasks.active()) {
         view.add(
             new PlacedTask(
                 attempt.task(),
--- a/src/main/java/org/saffronshore/cluster/MachineLifecycle.java
+++ b/src/main/java/org/saffronshore/cluster/MachineLifecycle.java
@@ -43,10 +43,10 @@
   /** Called after each change that may allow a task to be placed. */
   private final Runnable onChange;
 
+  /** Creates the life cycle of the machines at the start of a term. */
   MachineLifecycle(
       EventLoop loop,
       Settings settings,
-      double termStartedAt,
       MachineTable machines,
       Reconciliation reconciliation,
       AttemptLifecycle attempts,
@@ -55,7 +55,7 @@
       Runnable onChange) {
     this.loop = loop;
     this.settings = settings;
-    this.termStartedAt = termStartedAt;
+    this.termStartedAt = loop.now();
     this.machines = machines;
     this.reconciliation = reconciliation;
     this.attempts = attempts;
--- a/src/main/java/org/saffronshore/cluster/MachineTasks.java
+++ b/src/main/java/org/saffronshore/cluster/MachineTasks.java
@@ -33,6 +33,11 @@
     return attempts.values();
   }
 
+  /** Returns the attempts that occupy the machine: those that are not over. */
+  List<Attempt> active() {
+    return attempts.values().stream().filter(attempt -> !attempt.isOver()).toList();
+  }
+
   /** Returns a copy of the attempts, for callers that end attempts while they iterate. */
   List<Attempt> attemptsCopy() {
     return new ArrayList<>(attempts.values());
@@ -97,6 +102,10 @@
     exited.put(attempt.task(), attempt);
   }
 
+  void removeExited(Attempt attempt) {
+    exited.remove(attempt.task(), attempt);
+  }
+
   void clearExited() {
     exited.clear();
   }
--- a/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
@@ -58,7 +58,7 @@
 
   /**
    * Applies all task statuses of the newest message of a machine. Attempts that the message does
-   * not show have ended, unless no status has shown them yet.
+   * not show are lost, unless no status has shown them yet.
    */
   void apply(Machine machine, List<Heartbeat.TaskStatus> statuses) {
     machine.beforeTasksApplied();
@@ -69,8 +69,7 @@
     }
     for (Attempt attempt : machine.tasks().attemptsCopy()) {
       if (!shown.contains(attempt.task()) && !attempt.isLaunching()) {
-        logNotShown(attempt);
-        attempts.end(attempt);
+        attempts.lost(attempt);
       }
     }
     machine
@@ -80,30 +79,16 @@
     machine.tasks().recordApplied(statuses);
   }
 
-  private static void logNotShown(Attempt attempt) {
-    Machine machine = attempt.machine();
-    LOG.debug(
-        "Attempt not shown by newer message: task={} machine={} attempt={} state={} epoch={}"
-            + " launch_token={} token={}",
-        attempt.task(),
-        machine.id(),
-        attempt.number(),
-        attempt.state(),
-        machine.epochs().epoch(),
-        attempt.largestLaunchToken(),
-        machine.fencingToken());
-  }
-
   private void apply(Machine machine, Heartbeat.TaskStatus status) {
     TaskId task = status.task();
     Job openJob = jobs.get(task.job());
     Job job = openJob != null && task.index() < openJob.spec().tasks() ? openJob : null;
     Attempt attempt = machine.tasks().attemptAt(task);
+    boolean exited = status.state() == Heartbeat.TaskState.EXITED;
+    if (exited && isKnownExit(machine, status)) {
+      return;
+    }
     if (attempt == null || attempt.number() != status.attempt()) {
-      boolean exited = status.state() == Heartbeat.TaskState.EXITED;
-      if (exited && isKnownExit(machine, status)) {
-        return;
-      }
       attempt =
           new Attempt(
               task, status.attempt(), machine, job == null ? null : job.spec(), loop.now(), false);
@@ -115,6 +100,8 @@
         return;
       }
       adopt(attempt, job);
+    } else if (attempt.isOver() && !exited) {
+      handleRestart(attempt, job);
     }
     if (attempt.isLaunching()) {
       unresponsiveMachines.markResponsive(machine);
@@ -147,15 +134,34 @@
   private void adopt(Attempt attempt, @Nullable Job job) {
     Attempt replaced = attempt.machine().adoptAttempt(attempt);
     attempt.markAdopted();
-    if (job == null) {
-      attempts.stopNow(attempt, StopReason.JOB_ENDED);
-      return;
-    }
-    job.addAttempt(attempt);
     if (replaced != null) {
-      job.removeAttempt(replaced);
+      // A launch of the replaced attempt may still arrive, and would start the task too.
+      attempt.launchSentWith(replaced.largestLaunchToken());
+    }
+    if (job != null) {
+      job.addAttempt(attempt);
+      if (replaced != null) {
+        job.removeAttempt(replaced);
+      }
     }
-    if (job.isFinished(attempt.task().index())) {
+    stopIfNotNeeded(attempt, job);
+  }
+
+  /** Handles an attempt that was over, and that a copy of its launch has started again. */
+  private void handleRestart(Attempt attempt, @Nullable Job job) {
+    LOG.info(
+        "Attempt started again: task={} machine={} attempt={}",
+        attempt.task(),
+        attempt.machine().id(),
+        attempt.number());
+    attempt.machine().tasks().removeExited(attempt);
+    stopIfNotNeeded(attempt, job);
+  }
+
+  private void stopIfNotNeeded(Attempt attempt, @Nullable Job job) {
+    if (job == null) {
+      attempts.stopNow(attempt, StopReason.JOB_ENDED);
+    } else if (job.isFinished(attempt.task().index())) {
       attempts.stopNow(attempt, StopReason.TASK_FINISHED);
     }
   }
@@ -189,7 +195,7 @@
 
   /** Returns whether the attempt is certain to be on its machine and is not being stopped. */
   private static boolean isConfirmed(Attempt attempt) {
-    return attempt.machine().isReconciled() && !attempt.isStopping();
+    return attempt.machine().isReconciled() && !attempt.isStopping() && !attempt.isOver();
   }
 
   private void handleExit(Attempt attempt, Heartbeat.ExitReason reason, @Nullable Job job) {
@@ -202,7 +208,7 @@
     if (job != null && reason == Heartbeat.ExitReason.COMPLETED) {
       handleCompletion(attempt, job);
     }
-    attempts.end(attempt);
+    attempts.endOnceFenced(attempt);
     if (wasOnMachine && reason == Heartbeat.ExitReason.FAILED && !wasStopping && job != null) {
       handleFailure(attempt, job);
     } else if (wasOnMachine && REFUSALS.contains(reason)) {
