Log attempts that are adopted from the message of a worker

The log showed none of the attempts that a leader adopts. Change: a debug line for each adopted attempt, with its zone and the token that its worker has confirmed. Result: no change of behaviour.

--- a/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
@@ -132,6 +132,13 @@
 
   /** Adopts an attempt that an earlier leader launched, and stops it if it is no longer needed. */
   private void adopt(Attempt attempt, @Nullable Job job) {
+    LOG.debug(
+        "Attempt adopted: task={} machine={} attempt={} zone={} token={}",
+        attempt.task(),
+        attempt.machine().id(),
+        attempt.number(),
+        attempt.machine().zone(),
+        attempt.machine().delivery().confirmedToken());
     Attempt replaced = attempt.machine().adoptAttempt(attempt);
     attempt.launch().markAdopted();
     if (replaced != null) {
