Believe a heartbeat of an earlier term only as far as the registry confirms it

Cause: a new leader took every task that a heartbeat showed for one that may be on its machine. A late copy of a heartbeat of a machine that was gone thus added a second zone to the zones of the job, and a job that must be in one zone was allowed any zone that had a task of it. Evidence: log of the case. Change: cluster.Reconciliation owns what a message without this term's token proves (mayHold). Its invariant says that the registry has every machine that may hold tasks of earlier terms, so a task that such a message shows is adopted only if the registry allows it, and ends as soon as a reconciled machine shows it. Exits and completions, which stay true, are applied as before. A machine is reconciled before its tasks are applied, not after. PendingJob allows no zone to a SamePlace job whose tasks are, or may be, in several. Why it works: nothing but the registry, and messages with this term's token, can add a place where a task may be; the same invariant already decides which tasks may be placed. Nothing waits for a message that is not believed.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -76,7 +76,14 @@
         new UnresponsiveMachineDetector(loop, settings, machines, commandQueue, onChange);
     TaskStatusReconciler taskStatuses =
         new TaskStatusReconciler(
-            loop, settings, jobs, attempts, runtimeEstimator, unresponsiveMachines, onChange);
+            loop,
+            settings,
+            jobs,
+            reconciliation,
+            attempts,
+            runtimeEstimator,
+            unresponsiveMachines,
+            onChange);
     this.heartbeats =
         new HeartbeatReconciler(
             loop,
--- a/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
@@ -123,16 +123,16 @@
 
   private void applyChanges(
       Machine machine, Heartbeat heartbeat, boolean firstNotice, boolean newlyReconciled) {
+    if (newlyReconciled) {
+      reconcile(machine, heartbeat);
+    }
     taskStatuses.apply(machine, heartbeat.tasks());
     Double noticeS = heartbeat.preemptionNoticeS();
     if (firstNotice && noticeS != null) {
       attempts.handlePreemptionNotice(machine, noticeS);
     }
-    if (newlyReconciled) {
-      reconcile(machine, heartbeat);
-    }
     if (machine.isReconciled()) {
-      taskStatuses.stopDuplicates(machine);
+      taskStatuses.resolveDuplicates(machine);
     }
     machine.tasks().updateIdleSince(loop.now());
   }
--- a/src/main/java/org/saffronshore/cluster/PossibleTasks.java
+++ b/src/main/java/org/saffronshore/cluster/PossibleTasks.java
@@ -29,6 +29,11 @@
     return tasks == null;
   }
 
+  /** Returns whether the machine may hold the task. */
+  boolean include(TaskId task) {
+    return tasks == null || tasks.contains(task);
+  }
+
   /** Returns the tasks that the registry entry lists; empty if the machine may hold any task. */
   Set<TaskId> listedTasks() {
     return tasks == null ? Set.of() : tasks;
--- a/src/main/java/org/saffronshore/cluster/Reconciliation.java
+++ b/src/main/java/org/saffronshore/cluster/Reconciliation.java
@@ -3,10 +3,12 @@
 import java.util.BitSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.saffronshore.wire.TaskId;
 
 /**
  * The set of unreconciled machines: machines that may hold tasks launched by earlier leaders which
- * this leader does not know of. It prevents such tasks from being started a second time.
+ * this leader does not know of. It prevents such tasks from being started a second time, and
+ * decides whether a task that a worker's message shows may be on its machine now.
  *
  * <p>Invariant: at every moment, a task that an earlier leader may have launched, and that may
  * still run or start, is either an attempt of a machine or one of the possible tasks of an
@@ -27,6 +29,12 @@
  * may hold it. Jobs that were accepted in this term are exempt from the second condition, since no
  * earlier leader knew them; so are tasks at or above the launch watermark that the job had when the
  * term began, which no earlier leader launched.
+ *
+ * <p>A message without this term's fencing token may be outdated: it states what its machine held
+ * when it was sent, and the machine may not even exist any more. By the invariant, such a message
+ * adds nothing to what may be on machines. It is therefore only believed as far as the registry
+ * confirms it ({@link #mayHold}). What it states for ever is always believed: that an attempt has
+ * exited, and that a task has completed.
  */
 final class Reconciliation {
   private final JobTable jobs;
@@ -55,6 +63,32 @@
     return unreconciled;
   }
 
+  /**
+   * Returns whether a task that a message of the machine shows may be on the machine now. If not,
+   * the message is outdated.
+   *
+   * <p>The tasks that a reconciled machine shows are on it. An unreconciled machine may hold the
+   * tasks that its registry entry allows, except for those that a reconciled machine holds: an
+   * earlier leader launched them there only after they had ended elsewhere. Any other machine holds
+   * no tasks of earlier terms: it was never registered, its entry was removed because the machine
+   * no longer exists, or its worker's lease must have expired.
+   */
+  boolean mayHold(Machine machine, TaskId task) {
+    if (machine.isReconciled()) {
+      return true;
+    }
+    return unreconciled.contains(machine)
+        && machine.possibleTasks().include(task)
+        && !isOnReconciledMachine(task);
+  }
+
+  private boolean isOnReconciledMachine(TaskId task) {
+    Job job = jobs.get(task.job());
+    return job != null
+        && job.attemptsAt(task.index()).stream()
+            .anyMatch(attempt -> attempt.machine().isReconciled());
+  }
+
   /** Handles the end of a job: only its unfinished tasks may still be on unreconciled machines. */
   void jobEnded(Job job) {
     unreconciled.forEach(machine -> machine.possibleTasks().jobEnded(job));
--- a/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/TaskStatusReconciler.java
@@ -32,6 +32,7 @@
   private final EventLoop loop;
   private final Settings settings;
   private final JobTable jobs;
+  private final Reconciliation reconciliation;
   private final AttemptLifecycle attempts;
   private final RuntimeEstimator runtimeEstimator;
   private final UnresponsiveMachineDetector unresponsiveMachines;
@@ -43,6 +44,7 @@
       EventLoop loop,
       Settings settings,
       JobTable jobs,
+      Reconciliation reconciliation,
       AttemptLifecycle attempts,
       RuntimeEstimator runtimeEstimator,
       UnresponsiveMachineDetector unresponsiveMachines,
@@ -50,6 +52,7 @@
     this.loop = loop;
     this.settings = settings;
     this.jobs = jobs;
+    this.reconciliation = reconciliation;
     this.attempts = attempts;
     this.runtimeEstimator = runtimeEstimator;
     this.unresponsiveMachines = unresponsiveMachines;
@@ -89,6 +92,10 @@
       return;
     }
     if (attempt == null || attempt.number() != status.attempt()) {
+      if (!exited && !reconciliation.mayHold(machine, task)) {
+        logOutdated(machine, status);
+        return;
+      }
       attempt =
           new Attempt(
               task, status.attempt(), machine, job == null ? null : job.spec(), loop.now(), false);
@@ -103,8 +110,13 @@
     } else if (attempt.isOver() && !exited) {
       handleRestart(attempt, job);
     }
+    applyState(attempt, status, openJob, job);
+  }
+
+  private void applyState(
+      Attempt attempt, Heartbeat.TaskStatus status, @Nullable Job openJob, @Nullable Job job) {
     if (attempt.isLaunching()) {
-      unresponsiveMachines.markResponsive(machine);
+      unresponsiveMachines.markResponsive(attempt.machine());
     }
     switch (status.state()) {
       case PULLING_IMAGE -> attempt.markPullingImage();
@@ -114,6 +126,16 @@
     }
   }
 
+  private static void logOutdated(Machine machine, Heartbeat.TaskStatus status) {
+    LOG.debug(
+        "Task in outdated message ignored: task={} machine={} attempt={} zone={} token={}",
+        status.task(),
+        machine.id(),
+        status.attempt(),
+        machine.zone(),
+        machine.delivery().confirmedToken());
+  }
+
   private static boolean isKnownExit(Machine machine, Heartbeat.TaskStatus status) {
     Attempt known = machine.tasks().exitedAt(status.task());
     return known != null && known.number() == status.attempt();
@@ -174,34 +196,50 @@
   }
 
   /**
-   * Stops duplicate attempts at the tasks of a machine. An attempt is only stopped if both machines
-   * are reconciled: the attempts that an unreconciled machine shows may have ended, and a late copy
-   * of an old heartbeat must not end an attempt that is really running.
+   * Handles further attempts at the tasks of a reconciled machine. Those on unreconciled machines
+   * are outdated and end ({@link Reconciliation#mayHold}). Those on reconciled machines are really
+   * there, and all but one are stopped.
    */
-  void stopDuplicates(Machine machine) {
+  void resolveDuplicates(Machine machine) {
     for (Attempt attempt : machine.tasks().attemptsCopy()) {
-      int index = attempt.task().index();
       Job job = jobs.get(attempt.task().job());
-      if (job == null || job.duplicateAttempts().isEmpty()) {
-        continue;
+      if (job != null && !job.duplicateAttempts().isEmpty()) {
+        endOutdated(job, attempt.task().index());
+        stopDuplicates(job, attempt.task().index());
       }
-      Attempt kept = job.placedAttemptAt(index);
-      for (Attempt other : job.attemptsAt(index)) {
-        if (kept != null && other != kept && isConfirmed(other) && isConfirmed(kept)) {
-          LOG.warn(
-              "Task on two machines: task={} machine={} stopped_machine={} stopped_attempt={}",
-              other.task(),
-              kept.machine().id(),
-              other.machine().id(),
-              other.number());
-          attempts.stopNow(other, StopReason.DUPLICATE);
-        }
+    }
+  }
+
+  private void endOutdated(Job job, int index) {
+    for (Attempt attempt : job.attemptsAt(index)) {
+      if (!reconciliation.mayHold(attempt.machine(), attempt.task())) {
+        LOG.debug(
+            "Outdated attempt ends: task={} machine={} attempt={}",
+            attempt.task(),
+            attempt.machine().id(),
+            attempt.number());
+        attempts.end(attempt);
+      }
+    }
+  }
+
+  private void stopDuplicates(Job job, int index) {
+    Attempt kept = job.placedAttemptAt(index);
+    for (Attempt other : job.attemptsAt(index)) {
+      if (kept != null && other != kept && isStoppable(other) && isStoppable(kept)) {
+        LOG.warn(
+            "Task on two machines: task={} machine={} stopped_machine={} stopped_attempt={}",
+            other.task(),
+            kept.machine().id(),
+            other.machine().id(),
+            other.number());
+        attempts.stopNow(other, StopReason.DUPLICATE);
       }
     }
   }
 
   /** Returns whether the attempt is certain to be on its machine and is not being stopped. */
-  private static boolean isConfirmed(Attempt attempt) {
+  private static boolean isStoppable(Attempt attempt) {
     return attempt.machine().isReconciled() && !attempt.isStopping() && !attempt.isOver();
   }
 
--- a/src/main/java/org/saffronshore/scheduling/PendingJob.java
+++ b/src/main/java/org/saffronshore/scheduling/PendingJob.java
@@ -101,9 +101,13 @@
     return !isZoneAllowed(machine.kind().zone()) || machine.hasRecordOf(task);
   }
 
-  /** Returns whether the zones of the job's other tasks allow one more task in this zone. */
+  /**
+   * Returns whether the zones of the job's other tasks allow one more task in this zone. If the
+   * tasks of a job that must be in a single zone are or may be in several, no zone is allowed.
+   */
   boolean isZoneAllowed(String zone) {
-    if (job.singleZone() && !tasksPerZone.isEmpty() && !tasksPerZone.containsKey(zone)) {
+    boolean inOtherZone = tasksPerZone.size() > (tasksPerZone.containsKey(zone) ? 1 : 0);
+    if (job.singleZone() && inOtherZone) {
       return false;
     }
     return !job.spread() || tasksPerZone.getOrDefault(zone, 0) < job.spreadLimit();
--- a/src/test/java/org/saffronshore/control/ClusterSimulation.java
+++ b/src/test/java/org/saffronshore/control/ClusterSimulation.java
@@ -72,6 +72,9 @@
   /** The fraction of the heartbeats of which a duplicate arrives late. */
   double duplicatedHeartbeatShare;
 
+  /** Copies of heartbeats that arrive only at the next leader. */
+  final LateHeartbeats lateHeartbeats = new LateHeartbeats(loop, random);
+
   /**
    * A network-partitioned zone, or null: its machines reach only {@link #controllerInIsolatedZone},
    * which reaches no other machine.
--- a/src/test/java/org/saffronshore/control/CopyAfterRestartTest.java
+++ b/src/test/java/org/saffronshore/control/CopyAfterRestartTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.saffronshore.JobBuilder;
-import org.saffronshore.TestData;
 import org.saffronshore.wire.Priority;
 
 /**
@@ -21,9 +20,6 @@
  * moved to another one, or was cancelled.
  */
 class CopyAfterRestartTest extends RuleCheckingSimulation {
-  /** The CPUs of a machine of the simulated cloud. */
-  private static final double MACHINE_CPUS = 8;
-
   /** What is back within a second. */
   enum Restart {
     /** The machine; its worker continues its epoch, so that copies of launches still match it. */
@@ -51,10 +47,7 @@
 
   /** Submits a job with one task that needs a whole machine, and waits until it has started. */
   private UserView startTask() {
-    UserView view =
-        submit(
-            leader(),
-            TestData.job("wk-" + ++lastJobNumber, "free", Priority.STANDARD, 1, MACHINE_CPUS));
+    UserView view = submit(leader(), jobOfWholeMachines(1));
     advanceUntilStarted(view);
     return view;
   }
--- a/src/test/java/org/saffronshore/control/FakeWorker.java
+++ b/src/test/java/org/saffronshore/control/FakeWorker.java
@@ -164,6 +164,7 @@
       ClusterSimulation.ControllerProcess process, byte[] body, boolean[] responded) {
     double sentAt = loop.now();
     long sentInEpoch = epoch;
+    simulation.lateHeartbeats.heartbeatSent(body);
     process.controller.handle(
         new Request("POST", "/v1/report", body),
         (status, type, bytes, retryAfterS) ->
--- a/src/test/java/org/saffronshore/control/RepeatedLaunchTest.java
+++ b/src/test/java/org/saffronshore/control/RepeatedLaunchTest.java
@@ -19,9 +19,6 @@
  * attempt has ended. A worker that was told to forget the attempt would start it anew.
  */
 class RepeatedLaunchTest extends RuleCheckingSimulation {
-  /** The CPUs of a machine of the simulated cloud. */
-  private static final double MACHINE_CPUS = 8;
-
   /** A job with one task that needs a whole machine; its team has no quota. */
   private JobSpec wholeMachineJob(Priority priority) {
     return TestData.job("wk-" + ++lastJobNumber, "free", priority, 1, MACHINE_CPUS);
--- a/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
+++ b/src/test/java/org/saffronshore/control/RuleCheckingSimulation.java
@@ -10,8 +10,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.BeforeEach;
 import org.saffronshore.JobBuilder;
 import org.saffronshore.TestData;
@@ -30,6 +30,9 @@
 
   static final double TASK_CPUS = 4;
 
+  /** The CPUs of a machine of the simulated cloud. */
+  static final double MACHINE_CPUS = 8;
+
   /** What users know about a job from the responses that they received. */
   static final class UserView {
     final JobSpec job;
@@ -101,17 +104,31 @@
     assertTrue(
         !job.team().equals("red") || cpus <= TEAM_LIMIT_CPUS,
         () -> "team " + job.team() + " uses " + cpus + " CPUs, quota " + TEAM_LIMIT_CPUS);
+    Map<String, Long> tasksPerZone = tasksPerZone(job);
     if (job.singleZone()) {
-      Set<String> zones = new TreeSet<>();
-      workers.values().stream()
-          .filter(
-              holder ->
-                  holder.activeTasks().stream().anyMatch(held -> jobOf(held).equals(job.id())))
-          .forEach(holder -> zones.add(holder.heartbeat.get("Depot").asText()));
-      assertEquals(1, zones.size(), () -> job.id() + " must run in one zone and is in " + zones);
+      assertEquals(
+          1,
+          tasksPerZone.size(),
+          () -> job.id() + " must run in one zone and is in " + tasksPerZone);
+    }
+    if (job.spread()) {
+      assertTrue(
+          tasksPerZone.get(worker.heartbeat.get("Depot").asText()) <= job.spreadLimit(),
+          () -> job.id() + " must be spread and is in " + tasksPerZone);
     }
   }
 
+  /** Returns the number of tasks of a job that are on machines, by zone. */
+  private Map<String, Long> tasksPerZone(JobSpec job) {
+    return workers.values().stream()
+        .flatMap(
+            holder ->
+                holder.activeTasks().stream()
+                    .filter(held -> jobOf(held).equals(job.id()))
+                    .map(held -> holder.heartbeat.get("Depot").asText()))
+        .collect(Collectors.groupingBy(zone -> zone, TreeMap::new, Collectors.counting()));
+  }
+
   static String jobOf(String task) {
     return task.substring(0, task.indexOf('/'));
   }
@@ -140,12 +157,13 @@
     while (loop.now() < until - 1e-9) {
       loop.advance(Math.min(STEP_S, until - loop.now()));
       checkCancelledTasksStopped();
-      long activeLeaders =
+      List<ControllerProcess> active =
           processes.values().stream()
               .filter(
                   candidate -> !candidate.crashed && candidate.controller.leadership().isActive())
-              .count();
-      assertTrue(activeLeaders <= 1, activeLeaders + " controllers act as leader at the same time");
+              .toList();
+      assertTrue(active.size() <= 1, active.size() + " controllers act as leader at the same time");
+      active.forEach(lateHeartbeats::activeLeaderIs);
     }
   }
 
@@ -244,6 +262,11 @@
     return TestData.job("wk-" + ++lastJobNumber, "red", Priority.STANDARD, tasks, TASK_CPUS);
   }
 
+  /** A job of a team without a quota; each of its tasks needs a whole machine. */
+  JobSpec jobOfWholeMachines(int tasks) {
+    return TestData.job("wk-" + ++lastJobNumber, "free", Priority.STANDARD, tasks, MACHINE_CPUS);
+  }
+
   static JobSpec inSingleZone(JobSpec job) {
     return JobBuilder.copyOf(job).zoneConstraints(true, false).build();
   }
