Random faults: late heartbeats, also of lost machines, that reach the next leader

Cause: no random play delivered heartbeats to a leader that had not seen newer ones of their machine. A new play loses machines without notice and crashes leaders, with jobs of one zone and spread jobs and more work than room.

--- a/src/test/java/org/saffronshore/control/RandomFaultsTest.java
+++ b/src/test/java/org/saffronshore/control/RandomFaultsTest.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.saffronshore.JobBuilder;
 import org.saffronshore.TestData;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Priority;
@@ -126,6 +127,62 @@
     assertTrue(startedTasks.size() > 10, () -> startedTasks.size() + " started tasks");
   }
 
+  /**
+   * Machines are lost without notice and leaders crash, again and again. Copies of heartbeats, also
+   * of the lost machines, reach the next leader. The jobs have zone constraints, and there is more
+   * work than room.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void rulesHoldWhenLateHeartbeatsReachTheNextLeader(int seed) {
+    random.setSeed(seed);
+    runtimeS = 2 * DEFAULT_RUNTIME_S;
+    randomRuntimes = true;
+    lateHeartbeats.keptShare = 0.5;
+    maxMachines = 4;
+    for (int round = 0; round < 12; round++) {
+      boolean singleZone = random.nextInt(4) > 0;
+      submit(
+          randomController(),
+          JobBuilder.copyOf(jobOfWholeMachines(2 + random.nextInt(3)))
+              .zoneConstraints(singleZone, !singleZone)
+              .build());
+      advanceAndCheckRules(2 + 6 * random.nextDouble());
+      loseRandomMachine();
+      advanceAndCheckRules(4 + 16 * random.nextDouble());
+      if (leader() != null) {
+        crashUntilRestart(leader(), random.nextInt(3) == 0 ? 0.2 : 5);
+      }
+      advanceAndCheckRules(4 + 16 * random.nextDouble());
+    }
+    lateHeartbeats.keptShare = 0;
+    clearFaults();
+    runtimeS = 1;
+    awaitEveryJobEnds();
+    assertTrue(startedTasks.size() > 10, () -> startedTasks.size() + " started tasks");
+  }
+
+  /** Removes a random machine that has tasks, without a preemption notice. */
+  private void loseRandomMachine() {
+    List<FakeWorker> busy =
+        workers.values().stream().filter(worker -> !worker.activeTasks().isEmpty()).toList();
+    if (!busy.isEmpty()) {
+      removeMachine(busy.get(random.nextInt(busy.size())));
+    }
+  }
+
+  /** Crashes a controller, which is back after the given time in seconds. */
+  private void crashUntilRestart(ControllerProcess target, double afterS) {
+    target.crashed = true;
+    loop.schedule(
+        afterS,
+        () -> {
+          if (processes.get(target.name) == target) {
+            startController(target.name);
+          }
+        });
+  }
+
   private void restartControllerAtOnce(String name) {
     processes.get(name).crashed = true;
     advanceAndCheckRules(random.nextDouble());
@@ -182,16 +239,7 @@
       }
       case 2 -> target.peersUnreachable = !target.peersUnreachable;
       case 3 -> target.workersUnreachable = !target.workersUnreachable;
-      case 4, 5 -> {
-        target.crashed = true;
-        loop.schedule(
-            random.nextInt(3) == 0 ? 0.2 : 5,
-            () -> {
-              if (processes.get(target.name) == target) {
-                startController(target.name);
-              }
-            });
-      }
+      case 4, 5 -> crashUntilRestart(target, random.nextInt(3) == 0 ? 0.2 : 5);
       case 6 -> {
         boolean inOutage = !Double.isNaN(outageStartedAt);
         setOutage(!inOutage, inOutage ? loop.now() - outageStartedAt : 0);
