Ignore messages of a machine that the cloud has listed as failed

What callers would see: tasks of a SamePlace job in two zones within one term (wrong_place). Cause: messages of removed machines were ignored, those of machines that are listed as failed were not. A heartbeat that the network held up until the list showed the machine as failed restored the tasks that had ended with it. Change: MachineTable.isGone covers both, for heartbeats and for responses to commands. Why it works: a failed machine never runs again, so whatever still arrives from it is outdated.

--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -314,7 +314,7 @@
    * Applies a heartbeat, as opposed to a status in a response to a command. The response to the
    * heartbeat renews the worker's lease.
    *
-   * @return the machine, or null if it has been removed
+   * @return the machine, or null if it no longer exists
    */
   public @Nullable Machine heartbeatReceived(Heartbeat heartbeat) {
     return heartbeats.heartbeatReceived(heartbeat);
--- a/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
+++ b/src/main/java/org/saffronshore/cluster/HeartbeatReconciler.java
@@ -57,10 +57,10 @@
    * Applies a heartbeat, as opposed to a status in a response to a command. The response to the
    * heartbeat renews the worker's lease.
    *
-   * @return the machine, or null if it has been removed
+   * @return the machine, or null if it no longer exists
    */
   @Nullable Machine heartbeatReceived(Heartbeat heartbeat) {
-    if (machines.isRemoved(heartbeat.machine())) {
+    if (machines.isGone(heartbeat.machine())) {
       return null;
     }
     Machine machine = machines.getOrCreate(heartbeat.machine());
@@ -80,7 +80,7 @@
    * does not renew the worker's lease.
    */
   void directStatusReceived(Machine machine, Heartbeat status) {
-    if (!machines.contains(machine)) {
+    if (!machines.contains(machine) || machines.isGone(machine.id())) {
       return;
     }
     // A worker that cannot reach any controller still responds to commands, but its lease will
--- a/src/main/java/org/saffronshore/cluster/MachineTable.java
+++ b/src/main/java/org/saffronshore/cluster/MachineTable.java
@@ -66,7 +66,16 @@
     return machine;
   }
 
-  /** Returns whether the machine was removed. Heartbeats that still arrive from it are late. */
+  /**
+   * Returns whether the machine no longer exists: it was removed, or the cloud has listed it as
+   * failed. Messages that still arrive from it are late.
+   */
+  boolean isGone(String id) {
+    Machine machine = machines.get(id);
+    return isRemoved(id) || (machine != null && machine.hasFailed());
+  }
+
+  /** Returns whether the machine was removed. */
   boolean isRemoved(String id) {
     return removedAt.containsKey(id);
   }
--- a/src/main/java/org/saffronshore/control/HeartbeatService.java
+++ b/src/main/java/org/saffronshore/control/HeartbeatService.java
@@ -38,7 +38,7 @@
    * Handles a heartbeat.
    *
    * @return the body of the response; null if this controller may not respond as the leader at this
-   *     moment, or if the machine was removed
+   *     moment, or if the machine no longer exists
    */
   byte @Nullable [] handle(Heartbeat heartbeat) {
     if (term.stepDownIfSuperseded(heartbeat.machine(), heartbeat.fencingToken())) {
--- a/src/test/java/org/saffronshore/cluster/OutdatedHeartbeatTest.java
+++ b/src/test/java/org/saffronshore/cluster/OutdatedHeartbeatTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 import static org.saffronshore.TestData.taskStatus;
@@ -27,6 +28,7 @@
 import org.saffronshore.wire.Heartbeat.ExitReason;
 import org.saffronshore.wire.Heartbeat.TaskState;
 import org.saffronshore.wire.JobSpec;
+import org.saffronshore.wire.ListedMachine;
 import org.saffronshore.wire.Priority;
 import org.saffronshore.wire.TaskId;
 
@@ -304,6 +306,33 @@
     assertEquals("2 on host-a", plannedPlacements());
   }
 
+  /**
+   * Guards against wrong_place within one term: a heartbeat that the network held up arrives after
+   * the cloud has listed its machine as failed. It restored the tasks that had ended with the
+   * machine, and another task was started in their zone.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void lateMessageOfFailedMachineIsIgnored(boolean responseToCommand) {
+    addJobOfTwoTasks(true, false, 2);
+    Machine failed = addMachine("b", "host-old", running(0, 6));
+    cluster.machineListed(
+        new ListedMachine("host-old", "10.1.0.1:9000", "big", "b", true, true, 90));
+    addMachine("a", "host-a", running(0, 7));
+    Heartbeat late = heartbeatIn("b", "host-old", 90, TERM, running(0, 6));
+    if (responseToCommand) {
+      cluster.directStatusReceived(failed, late);
+    } else {
+      cluster.heartbeatReceived(late);
+    }
+    assertFalse(machine("host-a").attempts().iterator().next().isStopping());
+    cluster.markReturning(machine("host-a"));
+    addMachine("b", "host-b");
+    assertEquals("", plannedPlacements());
+    assertTrue(failed.isEmpty());
+    assertNull(cluster.heartbeatReceived(late));
+  }
+
   /** The second task is placed as if the late heartbeat had never arrived. */
   @Test
   void taskShownOnlyByLateHeartbeatMayStartInAnotherZone() {
