Do not count on machines that only heartbeats of earlier terms show

What callers would see: machines rented some seconds late, and an isolated leader that steps down, after late copies of heartbeats. Cause: a machine that only a late heartbeat names counted as free capacity in forecasts for as long as it was not silent (1.4 heartbeat intervals), for the zone of the next rental, and among the silent machines by which a leader steps down. Change: MachineExistence has what shows that a machine exists: reconciliation, the registry, a rental or a list. Forecasts, rentals and the silence of most machines count only such machines. One that is neither reconciled nor registered counts as a starting machine, by the time of its rental. Machine loses its moments of existence to the new class. Why it works: a machine that has just started is listed or rented, and is reconciled within a heartbeat. The test of a machine known only by an old heartbeat now requires no capacity at once, not only after 10 s.

--- a/src/main/java/org/saffronshore/autoscaling/ScaleOut.java
+++ b/src/main/java/org/saffronshore/autoscaling/ScaleOut.java
@@ -96,7 +96,8 @@
   private Map<String, Integer> machinesPerZone() {
     Map<String, Integer> machinesPerZone = new HashMap<>();
     for (Machine machine : cluster.machines()) {
-      if (machine.zone() != null && !machine.hasFailed() && !machine.isReturning()) {
+      boolean exists = machine.isExistenceConfirmed() && !machine.hasFailed();
+      if (exists && machine.zone() != null && !machine.isReturning()) {
         machinesPerZone.merge(machine.zone(), 1, Integer::sum);
       }
     }
--- a/src/main/java/org/saffronshore/cluster/CapacityView.java
+++ b/src/main/java/org/saffronshore/cluster/CapacityView.java
@@ -25,11 +25,17 @@
 
   private final EventLoop loop;
   private final MachineTable machines;
+  private final Reconciliation reconciliation;
   private final RuntimeEstimator runtimeEstimator;
 
-  CapacityView(EventLoop loop, MachineTable machines, RuntimeEstimator runtimeEstimator) {
+  CapacityView(
+      EventLoop loop,
+      MachineTable machines,
+      Reconciliation reconciliation,
+      RuntimeEstimator runtimeEstimator) {
     this.loop = loop;
     this.machines = machines;
+    this.reconciliation = reconciliation;
     this.runtimeEstimator = runtimeEstimator;
   }
 
@@ -64,10 +70,11 @@
       if (type == null || !machine.isReliable(now)) {
         continue;
       }
-      if (machine.isUp()) {
+      if (machine.isUp() && reconciliation.mayHoldTasks(machine)) {
         timelines.add(timeline(machine, type, countReleased, now));
-      } else if (!machine.wasEverUp() && now < machine.rentedAt() + type.bootS() * lateBootFactor) {
-        double upAt = Math.max(now, machine.rentedAt() + type.bootS());
+      } else if (isStarting(machine, now - type.bootS() * lateBootFactor)) {
+        double bootedAt = machine.rentedAt() + type.bootS();
+        double upAt = machine.isUp() ? now : Math.max(now, bootedAt);
         timelines.add(
             new Forecast.MachineTimeline(machine.kind(), Resources.capacityOf(type), upAt));
       }
@@ -75,6 +82,15 @@
     return timelines;
   }
 
+  /**
+   * Returns whether the machine was rented after the given moment and is starting: it has not been
+   * heard from, or not since it received its first message of this term.
+   */
+  private static boolean isStarting(Machine machine, double rentedAfter) {
+    boolean unproven = machine.isUp() && !machine.isReconciled();
+    return (!machine.wasEverUp() || unproven) && machine.rentedAt() > rentedAfter;
+  }
+
   private Forecast.MachineTimeline timeline(
       Machine machine, MachineType type, boolean countReleased, double now) {
     Resources free = Resources.capacityOf(type);
--- a/src/main/java/org/saffronshore/cluster/Cluster.java
+++ b/src/main/java/org/saffronshore/cluster/Cluster.java
@@ -109,7 +109,7 @@
             unresponsiveMachines,
             heartbeats);
     this.view = new ClusterView(loop, settings, jobs, machines, reconciliation);
-    this.capacity = new CapacityView(loop, machines, runtimeEstimator);
+    this.capacity = new CapacityView(loop, machines, reconciliation, runtimeEstimator);
   }
 
   public long term() {
--- a/src/main/java/org/saffronshore/cluster/Machine.java
+++ b/src/main/java/org/saffronshore/cluster/Machine.java
@@ -59,12 +59,10 @@
   private boolean draining;
   private double preemptedAt = Double.NaN;
 
-  /** Earliest moment at which the machine is known to have existed. */
-  private double knownToExistSince;
-
   private double rentedAt;
   private double firstUpAt = Double.NaN;
 
+  private final MachineExistence existence;
   private final MachineHealth health;
   private final WorkerEpochs epochs = new WorkerEpochs();
   private final WorkerLease lease = new WorkerLease();
@@ -89,7 +87,7 @@
     this.delivery = new CommandDelivery(firstFencingToken);
     this.health = new MachineHealth(silentAfterS);
     this.tasks = new MachineTasks(now);
-    this.knownToExistSince = now;
+    this.existence = new MachineExistence(now);
     this.rentedAt = now;
   }
 
@@ -152,14 +150,14 @@
   }
 
   /**
-   * Returns whether the machine can be counted on as future capacity: it is not leaving, shows no
-   * fault, and has not gone silent before it was reconciled.
+   * Returns whether the machine can be counted on as future capacity: its existence is confirmed,
+   * it is not leaving, shows no fault, and has not gone silent before it was reconciled.
    */
   boolean isReliable(double now) {
     boolean leaving = failed || returning || hasPreemptionNotice();
     boolean silentUnreconciled = up && !reconciled && health.isSilent(now);
     boolean faulty = health.isQuarantined() || health.isUnresponsive() || silentUnreconciled;
-    return !leaving && !faulty;
+    return existence.isConfirmed() && !leaving && !faulty;
   }
 
   /** Returns whether a message of the worker has arrived and its lease has not expired since. */
@@ -193,6 +191,16 @@
    */
   void markReconciled() {
     reconciled = true;
+    existence.confirm();
+  }
+
+  /** Returns whether more than messages of earlier terms shows that the machine exists. */
+  public boolean isExistenceConfirmed() {
+    return existence.isConfirmed();
+  }
+
+  MachineExistence existence() {
+    return existence;
   }
 
   public boolean hasFailed() {
@@ -246,15 +254,6 @@
     return health.isQuarantined();
   }
 
-  double knownToExistSince() {
-    return knownToExistSince;
-  }
-
-  /** Records that the machine is known to have existed at the given moment. */
-  void recordExistence(double moment) {
-    knownToExistSince = Math.min(knownToExistSince, moment);
-  }
-
   public double rentedAt() {
     return rentedAt;
   }
--- a/src/main/java/org/saffronshore/cluster/MachineLifecycle.java
+++ b/src/main/java/org/saffronshore/cluster/MachineLifecycle.java
@@ -73,9 +73,10 @@
    */
   void addRegistered(String id, double ageS, @Nullable Set<TaskId> possibleTasks) {
     Machine machine = machines.getOrCreate(id);
+    machine.existence().confirm();
     machine.registryEntry().loaded(possibleTasks != null);
     machine.possibleTasks().loaded(possibleTasks);
-    machine.recordExistence(loop.now() - Math.max(0, ageS));
+    machine.existence().knownAt(loop.now() - Math.max(0, ageS));
     LOG.debug(
         "Machine registered by an earlier term: machine={} age_s={} possible_tasks={}",
         id,
@@ -95,6 +96,7 @@
     }
     Machine machine = machines.getOrCreate(id);
     machine.updateDescription(type, zone, spot);
+    machine.existence().confirm();
     machine.rentedAt(requestedAt);
   }
 
@@ -104,10 +106,13 @@
     if (machines.isRemoved(id)) {
       return;
     }
-    Machine machine = machines.get(id);
-    if (machine == null) {
-      machine = machines.getOrCreate(id);
+    boolean known = machines.get(id) != null;
+    Machine machine = machines.getOrCreate(id);
+    if (!machine.isExistenceConfirmed()) {
+      machine.existence().confirm();
       machine.rentedAt(loop.now() - listed.rentedForS());
+    }
+    if (!known) {
       LOG.debug(
           "Machine found in the cloud's list: machine={} type={} zone={} spot={}",
           id,
@@ -151,7 +156,7 @@
             - Settings.maxLocalDuration(
                 MAX_LIST_AGE_LAGS * settings.cloudListLagS() + settings.heartbeatIntervalS());
     for (Machine machine : new ArrayList<>(machines.all())) {
-      if (!ids.contains(machine.id()) && machine.knownToExistSince() < knownBefore) {
+      if (!ids.contains(machine.id()) && machine.existence().knownSince() < knownBefore) {
         machineRemoved(machine, "not listed by the cloud");
       }
     }
--- a/src/main/java/org/saffronshore/cluster/MachineTable.java
+++ b/src/main/java/org/saffronshore/cluster/MachineTable.java
@@ -138,7 +138,7 @@
     int up = 0;
     int silent = 0;
     for (Machine machine : machines.values()) {
-      if (machine.isUp()) {
+      if (machine.isUp() && machine.isExistenceConfirmed()) {
         up++;
         silent += machine.health().isSilentFor(durationS, now) ? 1 : 0;
       }
--- a/src/main/java/org/saffronshore/cluster/Reconciliation.java
+++ b/src/main/java/org/saffronshore/cluster/Reconciliation.java
@@ -82,6 +82,14 @@
         && !isOnReconciledMachine(task);
   }
 
+  /**
+   * Returns whether the machine may hold any task now. A machine that may not is gone, or has not
+   * received its first message of this term yet.
+   */
+  boolean mayHoldTasks(Machine machine) {
+    return machine.isReconciled() || unreconciled.contains(machine);
+  }
+
   private boolean isOnReconciledMachine(TaskId task) {
     Job job = jobs.get(task.job());
     return job != null
--- a/src/test/java/org/saffronshore/cluster/LateHeartbeatTest.java
+++ b/src/test/java/org/saffronshore/cluster/LateHeartbeatTest.java
@@ -127,11 +127,12 @@
   void machineKnownOnlyByOldHeartbeatDoesNotCountAsCapacity() {
     cluster.heartbeatReceived(heartbeat("host-1", 1, 99, TERM - 2));
     assertEquals(0, cluster.view().schedulableMachines().size());
-    loop.advance(10);
     assertEquals(
         0,
         cluster.capacity().machineTimelines(1.6, true).size(),
         "the autoscaler must not rely on the machine either");
+    loop.advance(10);
+    assertEquals(0, cluster.capacity().machineTimelines(1.6, true).size());
     cluster.removeUnlisted(Set.of(), loop.now() + 20);
     assertNull(cluster.machine("host-1"));
   }
--- a/src/test/java/org/saffronshore/cluster/OutdatedHeartbeatTest.java
+++ b/src/test/java/org/saffronshore/cluster/OutdatedHeartbeatTest.java
@@ -333,6 +333,44 @@
     assertNull(cluster.heartbeatReceived(late));
   }
 
+  /**
+   * A machine that only a late heartbeat shows is not counted on: neither in forecasts, nor for the
+   * share of silent machines by which an isolated leader steps down.
+   */
+  @ParameterizedTest
+  @CsvSource({"false, 0, 0", "true, 90, 0", "true, 5, 1"})
+  void machineOfLateHeartbeatIsNoCapacityUnlessItWasJustRented(
+      boolean listed, double rentedForS, int timelines) {
+    receiveLateHeartbeat(TERM - 1);
+    assertFalse(machine("host-old").isExistenceConfirmed());
+    if (listed) {
+      cluster.machineListed(
+          new ListedMachine("host-old", "10.1.0.1:9000", "big", "b", true, false, rentedForS));
+    }
+    assertEquals(listed, machine("host-old").isExistenceConfirmed());
+    assertEquals(timelines, cluster.capacity().machineTimelines(1.6, true).size());
+  }
+
+  /** A late heartbeat of a machine that the registry names adds no capacity for longer than it. */
+  @Test
+  void silentMachineOfLateHeartbeatIsNoCapacity() {
+    addOldMachine(RegistryState.MAY_HOLD_ANY_TASK);
+    receiveLateHeartbeat(TERM - 1);
+    assertEquals(1, cluster.capacity().machineTimelines(1.6, true).size());
+    loop.advance(10);
+    assertEquals(0, cluster.capacity().machineTimelines(1.6, true).size());
+  }
+
+  /** Machines that only late heartbeats show do not make most machines silent. */
+  @Test
+  void machinesOfLateHeartbeatsDoNotCountAsSilent() {
+    receiveLateHeartbeat(TERM - 1);
+    cluster.heartbeatReceived(heartbeatIn("b", "host-old2", 90, TERM - 1));
+    loop.advance(10);
+    addMachine("a", "host-a");
+    assertFalse(cluster.isMostlySilent(5));
+  }
+
   /** The second task is placed as if the late heartbeat had never arrived. */
   @Test
   void taskShownOnlyByLateHeartbeatMayStartInAnotherZone() {
