--- a/src/test/java/org/saffronshore/cluster/OutdatedHeartbeatTest.java
+++ b/src/test/java/org/saffronshore/cluster/OutdatedHeartbeatTest.java
@@ -29,6 +29,7 @@
 import org.saffronshore.wire.Heartbeat.TaskState;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.ListedMachine;
+import org.saffronshore.wire.MachineKind;
 import org.saffronshore.wire.Priority;
 import org.saffronshore.wire.TaskId;
 
@@ -349,6 +350,7 @@
     }
     assertEquals(listed, machine("host-old").isExistenceConfirmed());
     assertEquals(timelines, cluster.capacity().machineTimelines(1.6, true).size());
+    assertEquals(new MachineKind("big", "b", true), machine("host-old").kind());
   }
 
   /** A late heartbeat of a machine that the registry names adds no capacity for longer than it. */
--- a/src/test/java/org/saffronshore/control/LateHeartbeatAfterFailoverTest.java
+++ b/src/test/java/org/saffronshore/control/LateHeartbeatAfterFailoverTest.java
@@ -7,7 +7,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.saffronshore.JobBuilder;
-import org.saffronshore.http.Request;
 import org.saffronshore.wire.JobSpec;
 import org.saffronshore.wire.Json;
 
@@ -61,11 +60,7 @@
     for (int i = 0; i < failovers; i++) {
       failOver();
     }
-    leader()
-        .controller
-        .handle(
-            new Request("POST", "/v1/report", lastHeartbeat),
-            (status, type, bytes, retryAfterS) -> {});
+    LateHeartbeats.deliver(lastHeartbeat, leader());
     addMachine("a");
     advanceAndCheckRules(5);
     assertEquals(
@@ -90,11 +85,7 @@
     removeMachine(first);
     advanceAndCheckRules(20);
     failOver();
-    leader()
-        .controller
-        .handle(
-            new Request("POST", "/v1/report", lastHeartbeat),
-            (status, type, bytes, retryAfterS) -> {});
+    LateHeartbeats.deliver(lastHeartbeat, leader());
     advanceAndCheckRules(1);
     addMachine("b");
     advanceAndCheckRules(3);
--- a/src/test/java/org/saffronshore/control/LateHeartbeats.java
+++ b/src/test/java/org/saffronshore/control/LateHeartbeats.java
@@ -48,7 +48,8 @@
     kept.clear();
   }
 
-  private static void deliver(byte[] body, ClusterSimulation.ControllerProcess receiver) {
+  /** Delivers a copy of a heartbeat to a controller, unless its process has crashed. */
+  static void deliver(byte[] body, ClusterSimulation.ControllerProcess receiver) {
     if (!receiver.crashed) {
       receiver.controller.handle(
           new Request("POST", "/v1/report", body), (status, type, bytes, retryAfterS) -> {});
